--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Entry points for a fresh machine: Python 3.11 and make are enough.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.ready
+
+.PHONY: setup format lint types scenarios test demo bench clean
+
+$(STAMP): pyproject.toml constraints.txt requirements-dev.txt packages/guavaroad/pyproject.toml packages/guavaroadctl/pyproject.toml standins/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -qq --disable-pip-version-check -c constraints.txt setuptools
+	$(BIN)/pip install -qq --disable-pip-version-check --no-build-isolation -c constraints.txt -r requirements-dev.txt -e packages/guavaroad -e packages/guavaroadctl -e standins
+	touch $(STAMP)
+
+setup: $(STAMP)
+
+format: setup
+	$(BIN)/ruff check --quiet --fix .
+	$(BIN)/ruff format --quiet .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 .
+
+types: setup
+	$(BIN)/mypy
+
+scenarios: setup
+	$(BIN)/python tools/run_scenarios.py
+
+test: lint types scenarios
+
+demo: setup
+	$(BIN)/python tools/demo.py
+
+bench: setup
+	$(BIN)/python bench/run.py
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/__init__.py
@@ -0,0 +1,3 @@
+"""Guavaroad: a dispatcher for jobs of sub-second tasks."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports over real protocols."""
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions of the dispatcher; nothing here does I/O."""
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces between the services and the outside world."""
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/services/__init__.py
@@ -0,0 +1,1 @@
+"""Application services that join domain decisions to ports."""
--- /dev/null
+++ b/standins/src/guavaroad_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the outside systems, run as plain processes."""
