--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/adapters/http_client.py
@@ -0,0 +1,163 @@
+"""HTTP requests that say whether they may have reached the other side."""
+
+import dataclasses
+import io
+from typing import Any, Final
+
+from twisted.internet import defer, error
+from twisted.python import failure
+from twisted.web import _newclient as web_client
+from twisted.web import client, http_headers, iweb
+from twisted.web import error as web_error
+
+_USER_AGENT: Final = 'guavaroad'
+_IDLE_CONNECTION_S: Final = 60
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """A whole HTTP answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header values by lower-case name, the first of each.
+        body: Whole body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NotSent:
+    """The request was provably not written to a connection.
+
+    Attributes:
+        detail: What broke.
+    """
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NoReply:
+    """The request may have arrived; no whole answer came.
+
+    Attributes:
+        detail: What broke.
+    """
+
+    detail: str
+
+
+Exchange = Reply | NotSent | NoReply
+
+_NOT_SENT_ERRORS: Final = (
+    error.ConnectError,
+    error.UnsupportedAddressFamily,
+    web_client.RequestNotSent,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """One request.
+
+    Attributes:
+        method: HTTP method.
+        url: Whole URL with an IP number.
+        headers: Header values by name.
+        body: Body, may be empty.
+        timeout_s: Seconds from the call to the end of the body.
+    """
+
+    method: str
+    url: str
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b''
+    timeout_s: float
+
+
+class HttpClient:
+    """Pooled persistent connections with one request in flight on each."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        connections_per_host: int,
+        connect_timeout_s: float,
+    ) -> None:
+        self.reactor = reactor
+        self.pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self.pool.maxPersistentPerHost = connections_per_host
+        self.pool.cachedConnectionTimeout = _IDLE_CONNECTION_S
+        # A resend by the library could start a task twice.
+        self.pool.retryAutomatically = False
+        self.agent = client.Agent(
+            reactor, connectTimeout=connect_timeout_s, pool=self.pool
+        )
+
+    async def exchange(self, call: Call) -> Exchange:
+        """Send a request and wait for the whole answer.
+
+        Args:
+            call: The request.
+
+        Returns:
+            The answer, or whether the request may have arrived.
+        """
+        pending = defer.ensureDeferred(self.send(call))
+        pending.addTimeout(call.timeout_s, self.reactor)
+        try:
+            return await pending
+        except _NOT_SENT_ERRORS as unsent:
+            return NotSent(detail=_describe(unsent))
+        except Exception as broken:  # noqa: BLE001
+            return NoReply(detail=_describe(broken))
+
+    async def send(self, call: Call) -> Reply:
+        """Send a request; raises what the agent raises."""
+        headers = http_headers.Headers({'User-Agent': [_USER_AGENT]})
+        for name, text in call.headers.items():
+            headers.addRawHeader(name, text)
+        response: iweb.IResponse = await self.agent.request(
+            call.method.encode(),
+            call.url.encode(),
+            headers,
+            _producer(call.body),
+        )
+        body = await client.readBody(response)
+        return Reply(
+            status=response.code,
+            headers=_first_headers(response.headers),
+            body=body,
+        )
+
+    def close(self) -> 'defer.Deferred[None]':
+        """Close the idle connections."""
+        closing: defer.Deferred[None] = self.pool.closeCachedConnections()
+        return closing
+
+
+def _producer(body: bytes) -> Any:
+    if not body:
+        return None
+    return client.FileBodyProducer(io.BytesIO(body))
+
+
+def _first_headers(headers: http_headers.Headers) -> dict[str, str]:
+    return {
+        name.decode('latin-1').lower(): texts[0].decode('latin-1')
+        for name, texts in headers.getAllRawHeaders()
+    }
+
+
+def _describe(broken: Any) -> str:
+    reasons = getattr(broken, 'reasons', None)
+    if reasons and isinstance(reasons[0], failure.Failure):
+        return _describe(reasons[0].value)
+    if isinstance(broken, web_error.Error):
+        return f'HTTP error {broken.status!r}'
+    return f'{type(broken).__name__}: {broken}'.strip(': ')
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/adapters/http_platform.py
@@ -0,0 +1,270 @@
+"""The platform over HTTP: table service, object store, instance list."""
+
+import base64
+from urllib import parse as urls
+
+import msgspec
+from twisted.internet import defer
+from twisted.web import http
+
+from guavaroad.adapters import http_client, platform_wire
+from guavaroad.domain import names
+from guavaroad.ports import platform, upstreams
+
+
+class PlatformLink:
+    """Requests to the platform's one endpoint."""
+
+    def __init__(
+        self, *, client: http_client.HttpClient, url: str, timeout_s: float
+    ) -> None:
+        self.client = client
+        self.url = url.rstrip('/')
+        self.timeout_s = timeout_s
+
+    async def call(
+        self, method: str, path: str, body: bytes = b''
+    ) -> http_client.Exchange:
+        """Send one request to the platform."""
+        return await self.client.exchange(
+            http_client.Call(
+                method=method,
+                url=f'{self.url}{path}',
+                body=body,
+                timeout_s=self.timeout_s,
+            )
+        )
+
+
+class HttpTable:
+    """The table service."""
+
+    def __init__(self, *, link: PlatformLink) -> None:
+        self.link = link
+
+    def transact(
+        self, operation_id: str, writes: tuple[platform.RowWrite, ...]
+    ) -> 'defer.Deferred[platform.WriteOutcome]':
+        """Write all rows or none."""
+        return defer.ensureDeferred(self.write(operation_id, writes))
+
+    def read(self, key: str) -> 'defer.Deferred[platform.Row | platform.Away]':
+        """Read one row."""
+        return defer.ensureDeferred(self.read_row(key))
+
+    def scan(
+        self, prefix: str
+    ) -> 'defer.Deferred[tuple[platform.Row, ...] | platform.Away]':
+        """Read the rows whose keys begin with the prefix."""
+        return defer.ensureDeferred(self.scan_rows(prefix))
+
+    def outcome_of(
+        self, operation_id: str
+    ) -> 'defer.Deferred[platform.WriteOutcome | platform.Absent]':
+        """Read back what became of a transaction."""
+        return defer.ensureDeferred(self.read_back(operation_id))
+
+    async def write(
+        self, operation_id: str, writes: tuple[platform.RowWrite, ...]
+    ) -> platform.WriteOutcome:
+        """Post one transaction."""
+        body = platform_wire.Transaction(
+            operation_id=operation_id,
+            writes=[
+                platform_wire.Write(
+                    key=write.key,
+                    expected_version=write.expected_version,
+                    body=encode(write.body),
+                )
+                for write in writes
+            ],
+        )
+        return written(
+            await self.link.call(
+                'POST', '/table/transactions', msgspec.json.encode(body)
+            )
+        )
+
+    async def read_row(self, key: str) -> platform.Row | platform.Away:
+        """Get one row."""
+        exchange = await self.link.call('GET', f'/table/rows/{quote(key)}')
+        match exchange:
+            case http_client.Reply(status=http.OK):
+                return row_of(
+                    msgspec.json.decode(exchange.body, type=platform_wire.Row)
+                )
+            case http_client.Reply(status=http.NOT_FOUND):
+                return platform.Row(key=key, version=0)
+        return away(exchange)
+
+    async def scan_rows(
+        self, prefix: str
+    ) -> tuple[platform.Row, ...] | platform.Away:
+        """Get the rows below a prefix."""
+        path = f'/table/rows?prefix={quote(prefix)}'
+        exchange = await self.link.call('GET', path)
+        match exchange:
+            case http_client.Reply(status=http.OK):
+                rows = msgspec.json.decode(
+                    exchange.body, type=list[platform_wire.Row]
+                )
+                return tuple(row_of(row) for row in rows)
+        return away(exchange)
+
+    async def read_back(
+        self, operation_id: str
+    ) -> platform.WriteOutcome | platform.Absent:
+        """Get the outcome of a transaction."""
+        path = f'/table/operations/{quote(operation_id)}'
+        exchange = await self.link.call('GET', path)
+        match exchange:
+            case http_client.Reply(status=http.NOT_FOUND):
+                return platform.Absent()
+            case http_client.NotSent() | http_client.NoReply():
+                return platform.Away(detail=exchange.detail)
+        return written(exchange)
+
+
+class HttpObjects:
+    """The object store."""
+
+    def __init__(self, *, link: PlatformLink) -> None:
+        self.link = link
+
+    def put(
+        self, key: str, body: bytes
+    ) -> 'defer.Deferred[platform.Committed | platform.Unknown]':
+        """Store an object whole."""
+        return defer.ensureDeferred(self.put_object(key, body))
+
+    def fetch(
+        self, key: str
+    ) -> 'defer.Deferred[bytes | platform.Absent | platform.Away]':
+        """Read an object whole."""
+        return defer.ensureDeferred(self.fetch_object(key))
+
+    async def put_object(
+        self, key: str, body: bytes
+    ) -> platform.Committed | platform.Unknown:
+        """Put one object."""
+        exchange = await self.link.call('PUT', f'/objects/{quote(key)}', body)
+        match exchange:
+            case http_client.Reply(status=http.OK):
+                return platform.Committed()
+        return platform.Unknown(detail=away(exchange).detail)
+
+    async def fetch_object(
+        self, key: str
+    ) -> bytes | platform.Absent | platform.Away:
+        """Get one object."""
+        exchange = await self.link.call('GET', f'/objects/{quote(key)}')
+        match exchange:
+            case http_client.Reply(status=http.OK):
+                return exchange.body
+            case http_client.Reply(status=http.NOT_FOUND):
+                return platform.Absent()
+        return away(exchange)
+
+
+class HttpDirectory:
+    """The instance list."""
+
+    def __init__(self, *, link: PlatformLink) -> None:
+        self.link = link
+
+    def list_instances(
+        self,
+    ) -> 'defer.Deferred[platform.InstanceList | platform.Away]':
+        """Read the instance list."""
+        return defer.ensureDeferred(self.read_list())
+
+    async def read_list(self) -> platform.InstanceList | platform.Away:
+        """Get the instance list."""
+        exchange = await self.link.call('GET', '/instances')
+        match exchange:
+            case http_client.Reply(status=http.OK):
+                return list_of(
+                    msgspec.json.decode(
+                        exchange.body, type=platform_wire.InstanceList
+                    )
+                )
+        return away(exchange)
+
+
+def written(exchange: http_client.Exchange) -> platform.WriteOutcome:
+    """Read the outcome of a transaction from an exchange.
+
+    Args:
+        exchange: Answer to a transaction, or to its read back.
+
+    Returns:
+        The outcome; anything unclear is `Unknown`.
+    """
+    match exchange:
+        case http_client.Reply(status=http.OK):
+            return platform.Committed()
+        case http_client.Reply(status=http.CONFLICT):
+            rows = msgspec.json.decode(
+                exchange.body, type=list[platform_wire.Row]
+            )
+            return platform.Conflict(rows=tuple(row_of(row) for row in rows))
+        case http_client.NotSent():
+            return platform.Away(detail=exchange.detail)
+        case http_client.NoReply():
+            return platform.Unknown(detail=exchange.detail)
+    return platform.Unknown(detail=f'status {exchange.status}')
+
+
+def away(exchange: http_client.Exchange) -> platform.Away:
+    """Describe a read that gave nothing."""
+    match exchange:
+        case http_client.Reply():
+            return platform.Away(detail=f'status {exchange.status}')
+    return platform.Away(detail=exchange.detail)
+
+
+def quote(text: str) -> str:
+    """Escape text for a URL path."""
+    return urls.quote(text, safe='')
+
+
+def encode(body: bytes) -> str:
+    """Write bytes as base64 text."""
+    return base64.b64encode(body).decode('ascii')
+
+
+def row_of(row: platform_wire.Row) -> platform.Row:
+    """Read a row from its wire form."""
+    return platform.Row(
+        key=row.key, version=row.version, body=base64.b64decode(row.body)
+    )
+
+
+def list_of(listed: platform_wire.InstanceList) -> platform.InstanceList:
+    """Read the instance list from its wire form."""
+    return platform.InstanceList(
+        entries=tuple(
+            platform.ListedInstance(
+                availability_zone=names.AvailabilityZone(
+                    entry.availability_zone
+                ),
+                address=names.ClientAddress(entry.address),
+                peer_address=names.PeerAddress(entry.peer_address),
+                leaving=entry.leaving,
+            )
+            for entry in listed.entries
+        ),
+        upstreams=tuple(
+            upstreams.Upstream(
+                name=names.UpstreamName(back_end.name),
+                availability_zone=names.AvailabilityZone(
+                    back_end.availability_zone
+                ),
+                pool=names.PoolName(back_end.pool),
+                address=back_end.address,
+                slots=back_end.slots,
+                leaving=back_end.leaving,
+            )
+            for back_end in listed.upstreams
+        ),
+    )
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The numbered configuration document and its patches."""
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/configuration/document.py
@@ -0,0 +1,156 @@
+"""The configuration document: classes, teams and jobs, checked as a whole."""
+
+import math
+import types
+from typing import Annotated, Any, Final
+
+import msgspec
+import pydantic
+
+from guavaroad.domain import jobs, names
+
+_DEFAULT_SHARES: Final = types.MappingProxyType(
+    {
+        jobs.Urgency.URGENT: 0.5,
+        jobs.Urgency.NORMAL: 0.3,
+        jobs.Urgency.LOW: 0.2,
+    }
+)
+_FULL_SHARE: Final = 1
+_SHOWN_CHARS: Final = 80
+
+Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+Name = Annotated[str, pydantic.Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+
+
+class Strict(pydantic.BaseModel):
+    """A model that takes no unknown field and never changes."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class UrgencyClass(Strict):
+    """Service of one urgency class.
+
+    Attributes:
+        share: Part of the slots the class may always claim, 0 to 1.
+    """
+
+    share: Share
+
+
+class Team(Strict):
+    """One team.
+
+    Attributes:
+        weight: Weight among the teams of a class.
+        max_queued_tasks: Tasks that may wait at one instance.
+    """
+
+    weight: Annotated[float, pydantic.Field(gt=0, le=1000)] = 1
+    max_queued_tasks: Annotated[int, pydantic.Field(ge=1, le=1_000_000)] = (
+        10_000
+    )
+
+
+class Job(Strict):
+    """One kind of job.
+
+    Attributes:
+        teams: Teams that may submit it.
+        urgency: Its urgency class.
+        pool: Upstream pool that runs it.
+        max_tasks: Tasks allowed in one submission.
+    """
+
+    teams: tuple[Name, ...]
+    urgency: jobs.Urgency = jobs.Urgency.NORMAL
+    pool: Name = 'main'
+    max_tasks: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 1000
+
+
+def default_classes() -> dict[jobs.Urgency, UrgencyClass]:
+    """Return the classes of an empty document."""
+    return {
+        urgency: UrgencyClass(share=share)
+        for urgency, share in _DEFAULT_SHARES.items()
+    }
+
+
+class Document(Strict):
+    """The whole configuration.
+
+    Attributes:
+        classes: Urgency classes.
+        teams: Teams by name.
+        jobs: Jobs by name.
+    """
+
+    classes: dict[jobs.Urgency, UrgencyClass] = pydantic.Field(
+        default_factory=default_classes
+    )
+    teams: dict[Name, Team] = pydantic.Field(default_factory=dict)
+    jobs: dict[Name, Job] = pydantic.Field(default_factory=dict)
+
+    @pydantic.model_validator(mode='after')
+    def check_whole(self) -> 'Document':
+        """Check what spans several fields."""
+        total = math.fsum(known.share for known in self.classes.values())
+        if total > _FULL_SHARE:
+            raise ValueError(f'classes: shares add up to {total}, over 1')
+        for name, job in self.jobs.items():
+            unknown = sorted(set(job.teams) - set(self.teams))
+            if unknown:
+                raise ValueError(f'jobs.{name}.teams: no team {unknown[0]}')
+        return self
+
+    def job_named(self, name: names.JobName) -> Job | None:
+        """Return the job of that name, if there is one."""
+        return self.jobs.get(name)
+
+
+class Invalid(msgspec.Struct, frozen=True, kw_only=True):
+    """A document that may not come into force.
+
+    Attributes:
+        problems: One sentence a field, each beginning with its path.
+    """
+
+    problems: tuple[str, ...]
+
+
+def check_document(raw: Any) -> Document | Invalid:
+    """Check a decoded document.
+
+    Args:
+        raw: Decoded JSON.
+
+    Returns:
+        The document, or every problem found.
+    """
+    try:
+        return Document.model_validate(raw)
+    except pydantic.ValidationError as broken:
+        return Invalid(problems=problems_of(broken))
+
+
+def problems_of(broken: pydantic.ValidationError) -> tuple[str, ...]:
+    """Describe each problem with its path, message and value.
+
+    Args:
+        broken: What pydantic raised.
+
+    Returns:
+        One sentence a problem.
+    """
+    found = broken.errors(include_url=False)
+    return tuple(map(_sentence, found))
+
+
+def _sentence(found: Any) -> str:
+    path = '.'.join(map(str, found['loc']))
+    message = found['msg'].removeprefix('Value error, ')
+    if not path:
+        return str(message)
+    given = repr(found['input'])[:_SHOWN_CHARS]
+    return f'{path}: {message}, not {given}'
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Which task goes to which slot next."""
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/main.py
@@ -0,0 +1,60 @@
+"""The `guavaroad` binary: runs one entry instance."""
+
+import asyncio
+import pathlib
+import sys
+from collections.abc import Sequence
+
+import loguru
+from absl import app as absl_app
+from absl import flags
+from twisted.internet import asyncioreactor
+from twisted.internet import main as reactor_main
+
+from guavaroad import __version__, app, settings
+
+_SETTINGS = flags.DEFINE_string(
+    'settings', 'guavaroad.yaml', 'YAML file with the settings.'
+)
+_CHECK = flags.DEFINE_bool('check', False, 'Check the settings and exit.')
+_VERSION = flags.DEFINE_bool('version', False, 'Print the version and exit.')
+
+
+def main(_: Sequence[str]) -> None:
+    """Run until the process is told to stop."""
+    if _VERSION.value:
+        sys.stdout.write(f'guavaroad {__version__}\n')
+        return
+    loaded = settings.load_settings(pathlib.Path(_SETTINGS.value))
+    match loaded:
+        case settings.BadSettings():
+            sys.exit('\n'.join(loaded.problems))
+        case settings.Settings():
+            if _CHECK.value:
+                sys.stdout.write('settings: valid\n')
+                return
+            serve(loaded)
+
+
+def serve(chosen: settings.Settings) -> None:
+    """Serve on one loop on this thread.
+
+    Args:
+        chosen: Checked settings.
+    """
+    loguru.logger.remove()
+    loguru.logger.add(sys.stderr, level=chosen.logs.level)
+    reactor = asyncioreactor.AsyncioSelectorReactor(asyncio.new_event_loop())
+    reactor_main.installReactor(reactor)
+    application = app.Application(reactor=reactor, chosen=chosen)
+    application.listen()
+    reactor.run()
+
+
+def run() -> None:
+    """Entry point of the console script."""
+    absl_app.run(main)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/standins/src/guavaroad_standins/fleet.py
@@ -0,0 +1,252 @@
+"""A whole small system of real processes: platform, upstreams, instances."""
+
+import dataclasses
+import pathlib
+import sys
+import tempfile
+from http import HTTPStatus, client
+from typing import Any, Final
+
+import msgspec
+
+from guavaroad_standins import calls, ports, processes
+
+HOST: Final = '127.0.0.1'
+OPERATOR_TOKEN: Final = 'operator-secret'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FleetPlan:
+    """What to start.
+
+    Attributes:
+        zones: Availability zones.
+        instances_per_zone: Entry instances of each.
+        upstreams_per_zone: Upstreams of each, one process a zone.
+        slots: Slots of each upstream.
+        teams: Teams, each with a token `<team>-secret`.
+        settings: Sections merged over the settings of each instance.
+    """
+
+    zones: tuple[str, ...] = ('zone-a', 'zone-b')
+    instances_per_zone: int = 1
+    upstreams_per_zone: int = 2
+    slots: int = 8
+    teams: tuple[str, ...] = ('office', 'rival')
+    settings: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class EntryInstance:
+    """One entry instance of the fleet."""
+
+    name: str
+    zone: str
+    address: str
+    peer_address: str
+    settings_path: pathlib.Path
+    process: processes.Process | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamPlace:
+    """One upstream of the fleet."""
+
+    name: str
+    zone: str
+    address: str
+
+
+class Fleet:
+    """Starts, reaches and ends the processes of a plan."""
+
+    def __init__(self, *, plan: FleetPlan) -> None:
+        self.plan = plan
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='guavaroad-'))
+        self.platform_address = _address()
+        self.running: list[processes.Process] = []
+        self.upstreams = [
+            UpstreamPlace(
+                name=f'{zone}-up-{number}', zone=zone, address=_address()
+            )
+            for zone in plan.zones
+            for number in range(plan.upstreams_per_zone)
+        ]
+        self.instances = [
+            self.plan_instance(zone, number)
+            for zone in plan.zones
+            for number in range(plan.instances_per_zone)
+        ]
+
+    def __enter__(self) -> 'Fleet':
+        """Return the fleet; `start` starts it."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """End every process that was started here."""
+        self.stop()
+
+    def plan_instance(self, zone: str, number: int) -> EntryInstance:
+        """Choose the addresses of an instance."""
+        name = f'{zone}-entry-{number}'
+        return EntryInstance(
+            name=name,
+            zone=zone,
+            address=_address(),
+            peer_address=_address(),
+            settings_path=self.folder / f'{name}.yaml',
+        )
+
+    def start(self) -> None:
+        """Start everything and wait until every instance is ready."""
+        self.start_platform()
+        self.publish_list()
+        for zone in self.plan.zones:
+            self.start_upstreams(zone)
+        for instance in self.instances:
+            self.start_instance(instance)
+        for instance in self.instances:
+            self.wait_ready(instance)
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in and wait until it answers."""
+        port = port_of(self.platform_address)
+        self.spawn(
+            'platform',
+            ['-m', 'guavaroad_standins.platform', f'--port={port}'],
+        )
+        wait_answer(self.platform_address, '/admin/counters')
+
+    def start_upstreams(self, zone: str) -> None:
+        """Start the upstreams of a zone in one process."""
+        places = [place for place in self.upstreams if place.zone == zone]
+        numbers = ','.join(port_of(place.address) for place in places)
+        slots = self.plan.slots
+        self.spawn(
+            f'{zone}-upstreams',
+            [
+                '-m',
+                'guavaroad_standins.upstream',
+                f'--ports={numbers}',
+                f'--slots={slots}',
+            ],
+        )
+        for place in places:
+            wait_answer(place.address, '/admin/counters')
+
+    def start_instance(self, instance: EntryInstance) -> None:
+        """Start one entry instance."""
+        instance.settings_path.write_bytes(
+            msgspec.yaml.encode(self.settings_of(instance))
+        )
+        instance.process = self.spawn(
+            instance.name,
+            ['-m', 'guavaroad.main', f'--settings={instance.settings_path}'],
+        )
+
+    def settings_of(self, instance: EntryInstance) -> dict[str, Any]:
+        """Return the settings of an instance."""
+        tokens: list[dict[str, Any]] = [
+            {'token': f'{team}-secret', 'team': team}
+            for team in self.plan.teams
+        ]
+        tokens.append({'token': OPERATOR_TOKEN, 'operator': True})
+        return {
+            'instance': {
+                'availability_zone': instance.zone,
+                'client_address': instance.address,
+                'peer_address': instance.peer_address,
+            },
+            'platform': {'url': f'http://{self.platform_address}'},
+            'peers': [
+                other.peer_address
+                for other in self.instances
+                if other is not instance
+            ],
+            'tokens': tokens,
+        } | self.plan.settings
+
+    def publish_list(self) -> None:
+        """Put the instances and upstreams in the platform's list."""
+        entries = [
+            {
+                'availability_zone': instance.zone,
+                'address': instance.address,
+                'peer_address': instance.peer_address,
+            }
+            for instance in self.instances
+        ]
+        back_ends = [
+            {
+                'name': place.name,
+                'availability_zone': place.zone,
+                'pool': 'main',
+                'address': place.address,
+                'slots': self.plan.slots,
+            }
+            for place in self.upstreams
+        ]
+        calls.call(
+            'PUT',
+            self.platform_address,
+            '/admin/instances',
+            body={'entries': entries, 'upstreams': back_ends},
+        )
+
+    def starts(self) -> list[str]:
+        """Return the log of starts of every upstream."""
+        return [
+            task
+            for place in self.upstreams
+            for task in calls.call(
+                'GET', place.address, '/admin/starts'
+            ).decoded()
+        ]
+
+    def wait_ready(self, instance: EntryInstance) -> None:
+        """Wait until an instance takes work."""
+        wait_answer(instance.address, '/readyz')
+
+    def spawn(self, name: str, arguments: list[str]) -> processes.Process:
+        """Start one Python process with its log in the fleet's folder."""
+        process = processes.Process(
+            name=name,
+            command=[sys.executable, *arguments],
+            log=self.folder / f'{name}.log',
+        )
+        self.running.append(process)
+        return process
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for process in self.running:
+            process.end()
+
+
+def port_of(address: str) -> str:
+    """Return the port of `ip:port`."""
+    return address.rpartition(':')[2]
+
+
+def answers(address: str, path: str) -> bool:
+    """Return whether a page answers with 200 now."""
+    try:
+        return calls.call('GET', address, path).status == HTTPStatus.OK
+    except (OSError, client.HTTPException):
+        return False
+
+
+def wait_answer(address: str, path: str) -> None:
+    """Wait until a page answers with 200."""
+    processes.wait_until(
+        lambda: answers(address, path), f'{address}{path} answers'
+    )
+
+
+def switch(address: str, **faults: Any) -> None:
+    """Set the faults of a stand-in; those not named are off."""
+    calls.call('PUT', address, '/admin/faults', body=faults)
+
+
+def _address() -> str:
+    return f'{HOST}:{ports.free_port()}'
