Build the parts of an instance in one module a step

The application class built every part in its constructor, so each new part would have touched the same lines. Building moves to composition.py, one short function a part; app.py only wires them.

--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -1,6 +1,5 @@
-"""Composition of one entry instance."""
+"""One entry instance: its parts, wired together."""
 
-import secrets
 from typing import Any, Final
 
 import loguru
@@ -8,91 +7,34 @@
 from twisted.internet import defer
 from twisted.web import server
 
-from guavaroad import settings
-from guavaroad.adapters import (
-    http_api,
-    http_client,
-    http_platform,
-    http_upstreams,
-    reactor_timers,
-)
-from guavaroad.domain import identity, names
+from guavaroad import composition, settings
+from guavaroad.adapters import http_api
 from guavaroad.ports import platform
-from guavaroad.services import (
-    configuration,
-    directory,
-    dispatch,
-    forwarding,
-    outcomes,
-    submissions,
-)
+from guavaroad.services import dispatch
 
-_EPOCH_BYTES: Final = 6
-_CONNECT_TIMEOUT_S: Final = 2
 _LOG_PREFIX: Final = 'app:'
 
 
 class Application:
-    """One entry instance, wired from its settings."""
+    """One entry instance, wired from its settings.
+
+    Attributes:
+        base: What every part is built on.
+    """
 
     def __init__(self, *, reactor: Any, chosen: settings.Settings) -> None:
-        self.reactor = reactor
-        self.settings = chosen
-        self.timers = reactor_timers.ReactorTimers(clock=reactor)
-        self.incarnation = identity.Incarnation(
-            availability_zone=names.AvailabilityZone(
-                chosen.instance.availability_zone
-            ),
-            address=names.ClientAddress(chosen.instance.client_address),
-            epoch=names.Epoch(secrets.token_hex(_EPOCH_BYTES)),
-        )
-        self.client = http_client.HttpClient(
-            reactor=reactor,
-            connections_per_host=connection_share(chosen.limits),
-            connect_timeout_s=_CONNECT_TIMEOUT_S,
-        )
-        self.platform = http_platform.PlatformLink(
-            client=self.client,
-            url=chosen.platform.url,
-            timeout_s=chosen.platform.timeout_s,
-        )
-        self.configuration = configuration.ConfigurationService(
-            table=http_platform.HttpTable(link=self.platform),
-            timer_service=self.timers,
-            period_s=chosen.platform.config_period_s,
-        )
-        self.directory = directory.DirectoryService(
-            port=http_platform.HttpDirectory(link=self.platform),
-            timer_service=self.timers,
-            period_s=chosen.platform.list_period_s,
+        self.base = composition.foundation(reactor, chosen)
+        self.platform = composition.platform_link(self.base)
+        self.configuration = composition.configuration_service(
+            self.base, self.platform
         )
-        self.dispatcher = dispatch.Dispatcher(
-            port=http_upstreams.HttpUpstreams(
-                client=self.client,
-                attempt_timeout_s=chosen.limits.attempt_timeout_s,
-            ),
-            timer_service=self.timers,
-            max_queued_tasks=chosen.limits.queued_tasks,
+        self.directory = composition.directory_service(self.base, self.platform)
+        self.dispatcher = composition.dispatcher(self.base)
+        self.submissions = composition.submission_service(
+            self.base, self.dispatcher, self.configuration
         )
-        self.submissions = self.submission_service()
         self.directory.on_change.append(self.upstreams_changed)
 
-    def submission_service(self) -> submissions.SubmissionService:
-        """Return the owner of this incarnation's submissions."""
-        limits = self.settings.limits
-        return submissions.SubmissionService(
-            minter=submissions.Minter(
-                incarnation=self.incarnation, timer_service=self.timers
-            ),
-            dispatcher=self.dispatcher,
-            forwarder=forwarding.Forwarder(
-                client=self.client, timeout_s=limits.attempt_timeout_s
-            ),
-            book=outcomes.OutcomeBook(kept_outcomes=limits.kept_outcomes),
-            configuration=self.configuration.current,
-            default_deadline_s=limits.default_deadline_s,
-        )
-
     def upstreams_changed(self, listed: platform.InstanceList) -> None:
         """Divide the listed upstreams among the listed instances."""
         self.dispatcher.set_upstreams(
@@ -102,7 +44,7 @@
     def listen(self) -> Any:
         """Open the client port and begin to follow the platform."""
         api = http_api.ApiResource(
-            tokens=http_api.Tokens(tokens=self.settings.tokens),
+            tokens=http_api.Tokens(tokens=self.base.settings.tokens),
             submission_service=self.submissions,
             configuration_service=self.configuration,
             state=self.state,
@@ -111,19 +53,21 @@
         site = server.Site(api)
         site.noisy = False
         site.displayTracebacks = False
-        host, _, port = self.incarnation.address.rpartition(':')
+        address = self.base.incarnation.address
+        host, _, port = address.rpartition(':')
         self.configuration.refresh()
         self.directory.refresh()
-        loguru.logger.info('{} listening on {}', _LOG_PREFIX, host)
-        return self.reactor.listenTCP(int(port), site, interface=host)
+        loguru.logger.info('{} listening on {}', _LOG_PREFIX, address)
+        return self.base.reactor.listenTCP(int(port), site, interface=host)
 
     def state(self) -> dict[str, Any]:
         """Return the dump of this process's state."""
         known = self.configuration.in_force
+        incarnation = self.base.incarnation
         return {
-            'availability_zone': self.incarnation.availability_zone,
-            'address': self.incarnation.address,
-            'epoch': self.incarnation.epoch,
+            'availability_zone': incarnation.availability_zone,
+            'address': incarnation.address,
+            'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
             'queued_tasks': self.dispatcher.queue.task_count,
             'upstreams': [
@@ -140,8 +84,3 @@
         """Refuse new work."""
         self.submissions.draining = True
         return defer.succeed(None)
-
-
-def connection_share(limits: settings.Limits) -> int:
-    """Return this instance's part of the connections of one upstream."""
-    return max(1, limits.connections_per_upstream // limits.fleet_size)
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -0,0 +1,136 @@
+"""Builds each part of an entry instance from its settings."""
+
+import dataclasses
+import secrets
+from typing import Any, Final
+
+from guavaroad import settings
+from guavaroad.adapters import (
+    http_client,
+    http_platform,
+    http_upstreams,
+    reactor_timers,
+)
+from guavaroad.domain import identity, names
+from guavaroad.services import (
+    configuration,
+    directory,
+    dispatch,
+    forwarding,
+    outcomes,
+    submissions,
+)
+
+_EPOCH_BYTES: Final = 6
+_CONNECT_TIMEOUT_S: Final = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Foundation:
+    """What every part is built on.
+
+    Attributes:
+        reactor: The one loop.
+        settings: Checked settings.
+        timers: Timer service on the loop.
+        incarnation: This life of this process.
+        client: Outgoing HTTP connections.
+    """
+
+    reactor: Any
+    settings: settings.Settings
+    timers: reactor_timers.ReactorTimers
+    incarnation: identity.Incarnation
+    client: http_client.HttpClient
+
+
+def foundation(reactor: Any, chosen: settings.Settings) -> Foundation:
+    """Return what the parts share."""
+    return Foundation(
+        reactor=reactor,
+        settings=chosen,
+        timers=reactor_timers.ReactorTimers(clock=reactor),
+        incarnation=new_incarnation(chosen.instance),
+        client=http_client.HttpClient(
+            reactor=reactor,
+            connections_per_host=connection_share(chosen.limits),
+            connect_timeout_s=_CONNECT_TIMEOUT_S,
+        ),
+    )
+
+
+def new_incarnation(instance: settings.Instance) -> identity.Incarnation:
+    """Draw the epoch of this process."""
+    return identity.Incarnation(
+        availability_zone=names.AvailabilityZone(instance.availability_zone),
+        address=names.ClientAddress(instance.client_address),
+        epoch=names.Epoch(secrets.token_hex(_EPOCH_BYTES)),
+    )
+
+
+def connection_share(limits: settings.Limits) -> int:
+    """Return this instance's part of the connections of one upstream."""
+    return max(1, limits.connections_per_upstream // limits.fleet_size)
+
+
+def platform_link(base: Foundation) -> http_platform.PlatformLink:
+    """Return the way to the platform."""
+    chosen = base.settings.platform
+    return http_platform.PlatformLink(
+        client=base.client, url=chosen.url, timeout_s=chosen.timeout_s
+    )
+
+
+def configuration_service(
+    base: Foundation, link: http_platform.PlatformLink
+) -> configuration.ConfigurationService:
+    """Return the keeper of the configuration in force."""
+    return configuration.ConfigurationService(
+        table=http_platform.HttpTable(link=link),
+        timer_service=base.timers,
+        period_s=base.settings.platform.config_period_s,
+    )
+
+
+def directory_service(
+    base: Foundation, link: http_platform.PlatformLink
+) -> directory.DirectoryService:
+    """Return the follower of the instance list."""
+    return directory.DirectoryService(
+        port=http_platform.HttpDirectory(link=link),
+        timer_service=base.timers,
+        period_s=base.settings.platform.list_period_s,
+    )
+
+
+def dispatcher(base: Foundation) -> dispatch.Dispatcher:
+    """Return the part that starts queued tasks."""
+    limits = base.settings.limits
+    return dispatch.Dispatcher(
+        port=http_upstreams.HttpUpstreams(
+            client=base.client, attempt_timeout_s=limits.attempt_timeout_s
+        ),
+        timer_service=base.timers,
+        max_queued_tasks=limits.queued_tasks,
+    )
+
+
+def submission_service(
+    base: Foundation,
+    dispatching: dispatch.Dispatcher,
+    configured: configuration.ConfigurationService,
+) -> submissions.SubmissionService:
+    """Return the owner of this incarnation's submissions."""
+    limits = base.settings.limits
+    return submissions.SubmissionService(
+        minter=submissions.Minter(
+            incarnation=base.incarnation, timer_service=base.timers
+        ),
+        dispatcher=dispatching,
+        forwarder=forwarding.Forwarder(
+            client=base.client, timeout_s=limits.attempt_timeout_s
+        ),
+        book=outcomes.OutcomeBook(kept_outcomes=limits.kept_outcomes),
+        configuration=configured.current,
+        default_deadline_s=limits.default_deadline_s,
+    )
