Refuse bad requests before they cost memory

A body over 100 KB or of unknown length went to a temporary file by the library's default, though instances have no disk; it is kept in memory now, and its room is reserved before it is read, each body and all bodies together bounded. A request that does not arrive whole in time, a head that is not HTTP, and a connection over the bound get an answer with a result code. The answer to a half-read request lingers for 2 s, since a close with unread input resets the connection and can destroy the answer.

Routes are a table: a wrong path is NOT_FOUND, a wrong method METHOD_NOT_ALLOWED with Allow, a wrong kind of token FORBIDDEN. Headers are read as bytes. An internal error answers 9000 without its text; the log has the traceback. New codes: REQUEST_TIMEOUT 2020, TOO_MANY_CONNECTIONS 2021. The job name is quoted when a submission is forwarded.

--- /dev/null
+++ b/features/steps/edge_steps.py
@@ -0,0 +1,218 @@
+"""Steps about requests that are not well formed or not well behaved."""
+
+import functools
+import io
+
+import behave
+import edge_support
+import loguru
+import msgspec
+
+from guavaroad.domain import attempts
+
+GOOD = b'{"tasks": [{"payload": {"echo": 1}}]}'
+
+
+def decoded(text):
+    return msgspec.json.decode(text.partition('\r\n\r\n')[2])
+
+
+def announce(line, length):
+    sent = edge_support.request(body=b'x' * length)
+    line.send(sent[:-length])
+
+
+@behave.given('an instance in memory')
+def given_instance(context):
+    context.instance = edge_support.Instance()
+
+
+@behave.given('an instance in memory that takes bodies of {count:d} bytes')
+def given_body_bound(context, count):
+    context.instance = edge_support.Instance(body_bytes=count)
+
+
+@behave.given('an instance in memory that holds {count:d} bytes of bodies')
+def given_held_bound(context, count):
+    context.instance = edge_support.Instance(held_body_bytes=count)
+
+
+@behave.given('an instance in memory that serves {count:d} connections')
+def given_connection_bound(context, count):
+    context.instance = edge_support.Instance(connections=count)
+
+
+@behave.when(
+    'a client sends {method} {path} with token {token} and body {body}'
+)
+def when_sends(context, method, path, token, body):
+    sent = b'' if body == 'none' else body.encode()
+    context.answer_text = context.instance.ask(
+        edge_support.request(method, path, sent, token)
+    )
+
+
+@behave.when('a client sends a submission with header {name} of bytes {hexa}')
+def when_header(context, name, hexa):
+    text = bytes.fromhex(hexa).decode('latin-1')
+    headers = {name.replace('-', '_'): text}
+    context.answer_text = context.instance.ask(
+        edge_support.request(body=GOOD, **headers)
+    )
+
+
+@behave.when('a client announces a body of {count:d} bytes')
+def when_announces(context, count):
+    context.line = context.instance.connect()
+    announce(context.line, count)
+    context.answer_text = context.line.text()
+
+
+@behave.when('a client sends {count:d} chunks of {size:d} bytes')
+def when_chunks(context, count, size):
+    context.line = context.instance.connect()
+    head = edge_support.request().replace(
+        b'Content-Length: 0', b'Transfer-Encoding: chunked'
+    )
+    context.line.send(head)
+    for _ in range(count):
+        context.line.send(b'%x\r\n%s\r\n' % (size, b'x' * size))
+    context.answer_text = context.line.text()
+
+
+@behave.when('{count:d} clients announce bodies of {size:d} bytes')
+def when_many_announce(context, count, size):
+    context.lines = [context.instance.connect() for _ in range(count)]
+    for line in context.lines:
+        announce(line, size)
+
+
+@behave.when('a client sends a submission as a form')
+def when_form(context):
+    context.answer_text = context.instance.ask(
+        edge_support.request(
+            body=GOOD, Content_Type='application/x-www-form-urlencoded'
+        )
+    )
+
+
+@behave.when('a client submits {count:d} tasks')
+def when_submits_many(context, count):
+    tasks = [{'payload': index} for index in range(count)]
+    body = msgspec.json.encode({'tasks': tasks})
+    context.answer_text = context.instance.ask(edge_support.request(body=body))
+
+
+@behave.when('a client sends one byte every second for {count:d} seconds')
+def when_slow(context, count):
+    context.line = context.instance.connect()
+    sent = edge_support.request(body=GOOD)
+    for index in range(count):
+        context.line.send(sent[index : index + 1])
+        context.instance.reactor.advance(1)
+    context.answer_text = context.line.text()
+
+
+@behave.when('{count:d} clients connect')
+def when_connect(context, count):
+    context.lines = [context.instance.connect() for _ in range(count)]
+
+
+@behave.when('a client submits a task and vanishes')
+def when_vanishes(context):
+    text = context.instance.ask(
+        edge_support.request(path='/v1/submission-ids', body=b'{"count":1}')
+    )
+    context.key = decoded(text)['extra']['submission_ids'][0]
+    line = context.instance.connect()
+    line.send(edge_support.request(body=GOOD, Idempotency_Key=context.key))
+    line.hang_up()
+
+
+@behave.when('the upstream answers')
+def when_upstream_answers(context):
+    for _, pending in context.instance.upstreams.attempts:
+        pending.callback(attempts.Answered(body=msgspec.Raw(b'{"echo":1}')))
+    context.instance.reactor.advance(1)
+
+
+@behave.when('a handler raises an error with a secret in it')
+def when_raises(context):
+    context.log = io.StringIO()
+    sink = loguru.logger.add(context.log)
+    context.instance.app.configuration.show = functools.partial(int, 'sesame')
+    context.answer_text = context.instance.ask(
+        edge_support.request('GET', '/v1/config', token='operator-secret')
+    )
+    loguru.logger.remove(sink)
+
+
+@behave.then('the answer has code {name} and its detail says {words}')
+def then_code(context, name, words):
+    answer = decoded(context.answer_text)
+    assert answer['name'] == name, answer
+    assert words in answer['detail'], answer
+
+
+@behave.then('a good submission still starts its tasks')
+def then_goes_on(context):
+    context.instance.ask(edge_support.request(body=GOOD))
+    assert len(context.instance.upstreams.attempts) == 1
+
+
+@behave.then('the instance holds {count:d} bytes of bodies')
+def then_holds(context, count):
+    assert context.instance.site.held_bytes == count
+
+
+@behave.then('after 2 seconds it has closed the connection and holds 0 bytes')
+def then_closed(context):
+    assert not context.line.gone
+    context.instance.reactor.advance(2)
+    assert context.line.gone
+    assert context.instance.site.held_bytes == 0
+
+
+@behave.then('the last client is refused with {name}')
+def then_last_refused(context, name):
+    *earlier, last = [line.text() for line in context.lines]
+    assert decoded(last)['name'] == name
+    assert not any(earlier)
+
+
+@behave.then('after 2 seconds the instance has {count:d} connections')
+def then_connections(context, count):
+    context.instance.reactor.advance(2)
+    assert context.instance.site.connection_count() == count
+
+
+@behave.then('the body is kept in memory')
+def then_in_memory(context):
+    open_request = context.line.channel.requests[0]
+    assert isinstance(open_request.content, io.BytesIO)
+
+
+@behave.then('the upstreams are handed {count:d} task')
+@behave.then('the upstreams are handed {count:d} tasks')
+def then_handed(context, count):
+    assert len(context.instance.upstreams.attempts) == count
+
+
+@behave.then('the connection is closed')
+def then_connection_closed(context):
+    assert context.line.gone
+
+
+@behave.then('a resubmission gets the kept answer')
+def then_kept(context):
+    text = context.instance.ask(
+        edge_support.request(body=GOOD, Idempotency_Key=context.key)
+    )
+    assert decoded(text)['answers'] == [{'echo': 1}], text
+
+
+@behave.then('the secret is in the log and not in the answer')
+def then_secret(context):
+    assert 'sesame' in context.log.getvalue()
+    assert 'Traceback' in context.log.getvalue()
+    assert 'sesame' not in context.answer_text
--- a/packages/guavaroad/src/guavaroad/adapters/http_api.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api.py
@@ -1,59 +1,133 @@
 """The HTTP interface for clients and operators."""
 
-import dataclasses
-import hmac
+import inspect
 from collections.abc import Callable
 from typing import Any, Final
 
+import loguru
 import msgspec
 import prometheus_client
 from twisted.internet import defer
+from twisted.python import failure
 from twisted.web import http, resource, server
 
-from guavaroad import settings
-from guavaroad.domain import codes, names
-from guavaroad.services import answers, configuration, forwarding, submissions
+from guavaroad.adapters import (
+    http_api_reading,
+    http_api_routes,
+    http_api_tokens,
+    http_api_writing,
+)
+from guavaroad.domain import codes
+from guavaroad.services import answers, configuration, submissions
 
 _MAX_ID_BLOCK: Final = 10_000
-_JSON: Final = 'application/json'
+_LOG_PREFIX: Final = 'api:'
 
 
-class MintBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Body of a request for ids."""
+class Pages:
+    """Handlers of the pages."""
 
-    count: int = 1
+    def __init__(
+        self,
+        *,
+        submission_service: submissions.SubmissionService,
+        configuration_service: configuration.ConfigurationService,
+        state: Callable[[], Any],
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
+        self.submissions = submission_service
+        self.configuration = configuration_service
+        self.state = state
+        self.registry = registry
 
+    def alive(self, _: http_api_routes.Visit) -> answers.Answer:
+        """Answer that the loop turns."""
+        return answers.Answer(status=http.OK, body=b'{"alive":true}')
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Caller:
-    """Whom a bearer token names.
+    def ready(self, _: http_api_routes.Visit) -> answers.Answer:
+        """Answer whether the balancer should send work here."""
+        ready = (
+            self.configuration.in_force is not None
+            and not self.submissions.draining
+        )
+        text = b'{"ready":true}' if ready else b'{"ready":false}'
+        status = http.OK if ready else http.SERVICE_UNAVAILABLE
+        return answers.Answer(status=status, body=text)
 
-    Attributes:
-        team: Team, empty for an operator.
-        operator: Whether it may see and patch the configuration.
-    """
+    def metrics(self, _: http_api_routes.Visit) -> answers.Answer:
+        """Answer with the metrics as text."""
+        return answers.Answer(
+            status=http.OK,
+            body=prometheus_client.generate_latest(self.registry),
+        )
 
-    team: names.TeamName
-    operator: bool
+    def mint(self, visit: http_api_routes.Visit) -> answers.Answer:
+        """Mint a block of submission ids."""
+        body = http_api_reading.body_of(visit.request) or b'{}'
+        try:
+            asked = msgspec.json.decode(body, type=http_api_reading.MintBody)
+        except (msgspec.DecodeError, UnicodeDecodeError) as broken:
+            return bad_request(str(broken))
+        if not 1 <= asked.count <= _MAX_ID_BLOCK:
+            return bad_request(f'count must be from 1 to {_MAX_ID_BLOCK}')
+        team = http_api_reading.team_of(visit)
+        return self.submissions.mint_block(team, asked.count)
+
+    def submit(self, visit: http_api_routes.Visit) -> Any:
+        """Take a submission and answer when it has ended."""
+        return self.submissions.submit(http_api_reading.submission_of(visit))
+
+    def show_config(self, _: http_api_routes.Visit) -> answers.Answer:
+        """Answer with the configuration in force."""
+        return self.configuration.show()
+
+    def patch_config(self, visit: http_api_routes.Visit) -> Any:
+        """Apply a merge patch to a version."""
+        base = http_api_reading.base_version_of(visit.request)
+        if base is None:
+            return bad_request('If-Match must name a version')
+        change = http_api_reading.body_of(visit.request)
+        try:
+            msgspec.json.decode(change)
+        except (msgspec.DecodeError, UnicodeDecodeError) as broken:
+            return bad_request(f'the patch is not JSON: {broken}')
+        return self.configuration.patch(base, change)
+
+    def show_state(self, _: http_api_routes.Visit) -> answers.Answer:
+        """Answer with the dump of this process."""
+        return answers.Answer(
+            status=http.OK, body=msgspec.json.encode(self.state())
+        )
 
 
-class Tokens:
-    """Bearer tokens of the settings."""
+def route_table(pages: Pages) -> http_api_routes.RouteTable:
+    """Return every page with its methods.
 
-    def __init__(self, *, tokens: tuple[settings.Token, ...]) -> None:
-        self.tokens = tokens
+    Args:
+        pages: The handlers.
 
-    def caller(self, authorization: str) -> Caller | None:
-        """Return whom the header names; none if it names nobody."""
-        given = authorization.removeprefix('Bearer ').encode()
-        for known in self.tokens:
-            secret = known.token.get_secret_value().encode()
-            if hmac.compare_digest(secret, given):
-                return Caller(
-                    team=names.TeamName(known.team or ''),
-                    operator=known.operator,
-                )
-        return None
+    Returns:
+        The table.
+    """
+    access = http_api_routes.Access
+    rows = (
+        ('GET', '/healthz', access.OPEN, pages.alive),
+        ('GET', '/readyz', access.OPEN, pages.ready),
+        ('GET', '/metrics', access.OPEN, pages.metrics),
+        ('POST', '/v1/submission-ids', access.CLIENT, pages.mint),
+        ('POST', '/v1/jobs/{job}/submissions', access.CLIENT, pages.submit),
+        ('GET', '/v1/config', access.OPERATOR, pages.show_config),
+        ('PATCH', '/v1/config', access.OPERATOR, pages.patch_config),
+        ('GET', '/v1/state', access.OPERATOR, pages.show_state),
+    )
+    return http_api_routes.RouteTable(
+        routes=tuple(
+            http_api_routes.Route(
+                method=method, path=path, access=allowed, handler=handler
+            )
+            for method, path, allowed, handler in rows
+        )
+    )
 
 
 class ApiResource(resource.Resource):
@@ -64,132 +138,93 @@
     def __init__(
         self,
         *,
-        tokens: Tokens,
-        submission_service: submissions.SubmissionService,
-        configuration_service: configuration.ConfigurationService,
-        state: Callable[[], Any],
-        registry: prometheus_client.CollectorRegistry,
+        tokens: http_api_tokens.Tokens,
+        routes: http_api_routes.RouteTable,
     ) -> None:
         super().__init__()
         self.tokens = tokens
-        self.submissions = submission_service
-        self.configuration = configuration_service
-        self.state = state
-        self.registry = registry
+        self.routes = routes
 
     def render(self, request: server.Request) -> int:
         """Answer now or later."""
-        pending = defer.maybeDeferred(self.route, request)
-        pending.addErrback(internal_error)
-        pending.addCallback(send, request)
         gone = request.notifyFinish()
         gone.addErrback(lambda _: None)
+        pending = defer.maybeDeferred(self.answer, request)
+        pending.addErrback(internal_error)
+        pending.addCallback(http_api_writing.send, request)
+        pending.addErrback(log_broken)
         return server.NOT_DONE_YET
 
-    def route(self, request: server.Request) -> Any:
-        """Serve the open pages, then those that need a token."""
-        path = [part.decode() for part in request.postpath or ()]
-        match (request.method, path):
-            case (b'GET', ['healthz']):
-                return answers.Answer(status=http.OK, body=b'{"alive":true}')
-            case (b'GET', ['readyz']):
-                return self.ready()
-            case (b'GET', ['metrics']):
-                return answers.Answer(
-                    status=http.OK,
-                    body=prometheus_client.generate_latest(self.registry),
-                )
-        authorization = request.getHeader('Authorization') or ''
-        caller = self.tokens.caller(authorization)
-        if caller is None:
-            return answers.plain(codes.ResultCode.UNAUTHENTICATED)
-        if caller.operator:
-            return self.route_operator(request, path)
-        return self.route_client(request, path, caller)
-
-    def ready(self) -> answers.Answer:
-        """Answer whether the balancer should send work here."""
-        ready = (
-            self.configuration.in_force is not None
-            and not self.submissions.draining
+    def answer(self, request: server.Request) -> Any:
+        """Find the page and hand the request to its handler."""
+        method = bytes(request.method).decode('ascii', errors='replace')
+        path = http_api_reading.path_of(request)
+        resolved = self.routes.resolve(method, path)
+        match resolved:
+            case http_api_routes.NoPage():
+                return answers.plain(codes.ResultCode.NOT_FOUND)
+            case http_api_routes.WrongMethod():
+                request.setHeader('Allow', ', '.join(resolved.allowed))
+                return answers.plain(codes.ResultCode.METHOD_NOT_ALLOWED)
+        return self.enter(request, resolved)
+
+    def enter(
+        self, request: server.Request, found: http_api_routes.Found
+    ) -> Any:
+        """Check the token and call the handler."""
+        access = found.route.access
+        caller = self.tokens.caller(
+            http_api_reading.header_of(request, b'Authorization')
         )
-        text = b'{"ready":true}' if ready else b'{"ready":false}'
-        status = http.OK if ready else http.SERVICE_UNAVAILABLE
-        return answers.Answer(status=status, body=text)
+        refusal = refusal_of(access, caller)
+        if refusal is not None:
+            return answers.plain(refusal)
+        visit = http_api_routes.Visit(
+            request=request, caller=caller, parts=found.parts
+        )
+        handled = found.route.handler(visit)
+        if inspect.iscoroutine(handled):
+            return defer.ensureDeferred(handled)
+        return handled
 
-    def route_operator(self, request: server.Request, path: list[str]) -> Any:
-        """Serve the operators' pages."""
-        match (request.method, path):
-            case (b'GET', ['v1', 'config']):
-                return self.configuration.show()
-            case (b'PATCH', ['v1', 'config']):
-                base = (request.getHeader('If-Match') or '').strip('"')
-                if not base.isdecimal():
-                    return answers.plain(
-                        codes.ResultCode.BAD_REQUEST,
-                        detail='If-Match must name a version',
-                    )
-                return self.configuration.patch(int(base), read_body(request))
-            case (b'GET', ['v1', 'state']):
-                return answers.Answer(
-                    status=http.OK, body=msgspec.json.encode(self.state())
-                )
-        return answers.plain(codes.ResultCode.NOT_FOUND)
-
-    def route_client(
-        self, request: server.Request, path: list[str], caller: Caller
-    ) -> Any:
-        """Serve the clients' pages."""
-        match (request.method, path):
-            case (b'POST', ['v1', 'submission-ids']):
-                body = msgspec.json.decode(
-                    read_body(request) or b'{}', type=MintBody
-                )
-                return self.submissions.mint_block(
-                    caller.team, min(max(1, body.count), _MAX_ID_BLOCK)
-                )
-            case (b'POST', ['v1', 'jobs', job, 'submissions']):
-                return self.submissions.submit(
-                    submit_request(request, names.JobName(job), caller)
-                )
-        return answers.plain(codes.ResultCode.NOT_FOUND)
-
-
-def submit_request(
-    request: server.Request, job: names.JobName, caller: Caller
-) -> submissions.SubmitRequest:
-    """Read a submission from its HTTP request."""
-    return submissions.SubmitRequest(
-        team=caller.team,
-        job=job,
-        key=request.getHeader('Idempotency-Key') or '',
-        body=read_body(request),
-        authorization=request.getHeader('Authorization') or '',
-        forwarded=request.getHeader(forwarding.FORWARDED_HEADER) == 'yes',
-    )
 
+def refusal_of(
+    access: http_api_routes.Access, caller: http_api_tokens.Caller | None
+) -> codes.ResultCode | None:
+    """Return why the caller may not use a page, if it may not.
+
+    Args:
+        access: Who may use it.
+        caller: Whom the token names.
 
-def read_body(request: server.Request) -> bytes:
-    """Return the whole request body."""
-    content: Any = request.content
-    return bytes(content.read())
+    Returns:
+        The code of the refusal.
+    """
+    if access is http_api_routes.Access.OPEN:
+        return None
+    if caller is None:
+        return codes.ResultCode.UNAUTHENTICATED
+    if access is http_api_routes.Access.TOKEN:
+        return None
+    wanted = access is http_api_routes.Access.OPERATOR
+    if caller.operator is not wanted:
+        return codes.ResultCode.FORBIDDEN
+    return None
 
 
-def internal_error(broken: Any) -> answers.Answer:
-    """Answer for a handler that raised."""
-    return answers.plain(
-        codes.ResultCode.INTERNAL, detail=broken.getErrorMessage()
-    )
+def bad_request(detail: str) -> answers.Answer:
+    """Answer that the request is not well formed."""
+    return answers.plain(codes.ResultCode.BAD_REQUEST, detail=detail)
 
 
-def send(answer: answers.Answer, request: server.Request) -> None:
-    """Write the answer unless the client has gone."""
-    if request._disconnected:
-        return
-    request.setResponseCode(answer.status)
-    request.setHeader('Content-Type', _JSON)
-    request.setHeader('Content-Length', str(len(answer.body)))
-    if answer.retry_after_s:
-        request.setHeader('Retry-After', str(round(answer.retry_after_s)))
-    request.write(answer.body)
-    request.finish()
+def internal_error(broken: failure.Failure) -> answers.Answer:
+    """Answer for a handler that raised; the log has the traceback."""
+    log_broken(broken)
+    return answers.plain(codes.ResultCode.INTERNAL)
+
+
+def log_broken(broken: failure.Failure) -> None:
+    """Log an exception that nothing expected."""
+    loguru.logger.opt(exception=broken.value).error(
+        '{} internal error', _LOG_PREFIX
+    )
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api_reading.py
@@ -0,0 +1,84 @@
+"""Reads what a request carries; bad text is an error, never an exception."""
+
+from typing import Any, Final
+from urllib import parse as urls
+
+import msgspec
+from twisted.web import server
+
+from guavaroad.adapters import http_api_routes
+from guavaroad.domain import names
+from guavaroad.services import forwarding, submissions
+
+_NO_TEAM: Final = names.TeamName('')
+_MAX_VERSION_DIGITS: Final = 18
+
+
+class MintBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a request for ids."""
+
+    count: int = 1
+
+
+def path_of(request: server.Request) -> tuple[str, ...]:
+    """Return the unescaped parts of the path.
+
+    Bytes that are not UTF-8 are replaced, so they match no page or name.
+    """
+    path: bytes = request.path or b''
+    escaped = path.strip(b'/').decode('ascii', errors='replace')
+    return tuple(map(urls.unquote, escaped.split('/')))
+
+
+def header_of(request: server.Request, name: bytes) -> bytes:
+    """Return the raw value of a header, empty if there is none.
+
+    Args:
+        request: The request.
+        name: Header name.
+
+    Returns:
+        The last value given.
+    """
+    return bytes(request.getHeader(name) or b'')
+
+
+def text_header(request: server.Request, name: bytes) -> str:
+    """Return a header as text; bytes that are not ASCII are replaced."""
+    return header_of(request, name).decode('ascii', errors='replace')
+
+
+def body_of(request: server.Request) -> bytes:
+    """Return the whole request body."""
+    content: Any = request.content
+    content.seek(0)
+    return bytes(content.read())
+
+
+def submission_of(
+    visit: http_api_routes.Visit,
+) -> submissions.SubmitRequest:
+    """Read a submission from its HTTP request."""
+    request = visit.request
+    forwarded = header_of(request, forwarding.FORWARDED_HEADER.encode())
+    return submissions.SubmitRequest(
+        team=team_of(visit),
+        job=names.JobName(visit.parts[0]),
+        key=text_header(request, b'Idempotency-Key'),
+        body=body_of(request),
+        authorization=text_header(request, b'Authorization'),
+        forwarded=forwarded == b'yes',
+    )
+
+
+def team_of(visit: http_api_routes.Visit) -> names.TeamName:
+    """Return the team of the caller."""
+    return visit.caller.team if visit.caller else _NO_TEAM
+
+
+def base_version_of(request: server.Request) -> int | None:
+    """Return the version that If-Match names, if it names one."""
+    text = text_header(request, b'If-Match').strip('"')
+    if not (text.isascii() and text.isdecimal()):
+        return None
+    return int(text) if len(text) <= _MAX_VERSION_DIGITS else None
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -5,10 +5,9 @@
 import loguru
 import prometheus_client
 from twisted.internet import defer
-from twisted.web import server
 
 from guavaroad import composition, settings
-from guavaroad.adapters import http_api
+from guavaroad.adapters import http_api, http_api_tokens
 from guavaroad.ports import platform
 from guavaroad.services import dispatch
 
@@ -43,16 +42,17 @@
 
     def listen(self) -> Any:
         """Open the client port and begin to follow the platform."""
-        api = http_api.ApiResource(
-            tokens=http_api.Tokens(tokens=self.base.settings.tokens),
+        pages = http_api.Pages(
             submission_service=self.submissions,
             configuration_service=self.configuration,
             state=self.state,
             registry=prometheus_client.REGISTRY,
         )
-        site = server.Site(api)
-        site.noisy = False
-        site.displayTracebacks = False
+        api = http_api.ApiResource(
+            tokens=http_api_tokens.Tokens(tokens=self.base.settings.tokens),
+            routes=http_api.route_table(pages),
+        )
+        site = composition.client_site(self.base, api)
         address = self.base.incarnation.address
         host, _, port = address.rpartition(':')
         self.configuration.refresh()
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -6,6 +6,8 @@
 
 from guavaroad import settings
 from guavaroad.adapters import (
+    http_api,
+    http_api_site,
     http_client,
     http_platform,
     http_upstreams,
@@ -134,3 +136,21 @@
         configuration=configured.current,
         default_deadline_s=limits.default_deadline_s,
     )
+
+
+def client_site(
+    base: Foundation, api: http_api.ApiResource
+) -> http_api_site.ApiSite:
+    """Return the bounded site of the client port."""
+    limits = base.settings.limits
+    return http_api_site.ApiSite(
+        root=api,
+        reactor=base.reactor,
+        timer_service=base.timers,
+        bounds=http_api_site.Bounds(
+            body_bytes=limits.body_bytes,
+            held_body_bytes=limits.held_body_bytes,
+            connections=limits.connections,
+            request_timeout_s=limits.request_timeout_s,
+        ),
+    )
--- a/packages/guavaroad/src/guavaroad/domain/codes.py
+++ b/packages/guavaroad/src/guavaroad/domain/codes.py
@@ -46,6 +46,8 @@
     CONFIGURATION_IN_DOUBT = 2017
     NOT_FOUND = 2018
     METHOD_NOT_ALLOWED = 2019
+    REQUEST_TIMEOUT = 2020
+    TOO_MANY_CONNECTIONS = 2021
 
     TASK_FAILED = 3001
     TASK_LOST = 3002
@@ -180,6 +182,12 @@
         ResultCode.METHOD_NOT_ALLOWED: _refused(
             405, 'The page does not take this method.', _MEND
         ),
+        ResultCode.REQUEST_TIMEOUT: _refused(
+            408, 'The request did not arrive whole in time.', _RESUBMIT
+        ),
+        ResultCode.TOO_MANY_CONNECTIONS: _refused(
+            503, 'The instance has too many connections.', _RESUBMIT
+        ),
         ResultCode.TASK_FAILED: _ran(
             502, 'A task ran and failed.', 'See the tasks of the answer.'
         ),
--- a/packages/guavaroad/src/guavaroad/services/forwarding.py
+++ b/packages/guavaroad/src/guavaroad/services/forwarding.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from typing import Final
+from urllib import parse as urls
 
 from twisted.internet import defer
 
@@ -41,10 +42,11 @@
         self, owner: identity.Incarnation, request: ForwardedRequest
     ) -> answers.Answer:
         """Forward and read the exchange."""
+        job = urls.quote(request.job, safe='')
         exchange = await self.client.exchange(
             http_client.Call(
                 method='POST',
-                url=f'http://{owner.address}/v1/jobs/{request.job}/submissions',
+                url=f'http://{owner.address}/v1/jobs/{job}/submissions',
                 headers={
                     FORWARDED_HEADER: 'yes',
                     'Authorization': request.authorization,
--- a/packages/guavaroad/src/guavaroad/services/submissions.py
+++ b/packages/guavaroad/src/guavaroad/services/submissions.py
@@ -14,6 +14,7 @@
 from guavaroad.services import answers, dispatch, forwarding, outcomes
 
 _MS: Final = 1000
+MAX_DEADLINE_MS: Final = 86_400_000
 
 
 class TaskBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -296,8 +297,9 @@
         return jobs.JobEnded(
             code=codes.ResultCode.BAD_REQUEST, detail='tasks is empty'
         )
-    if decoded.deadline_ms < 0:
+    if not 0 <= decoded.deadline_ms <= MAX_DEADLINE_MS:
         return jobs.JobEnded(
-            code=codes.ResultCode.BAD_REQUEST, detail='deadline_ms is negative'
+            code=codes.ResultCode.BAD_REQUEST,
+            detail=f'deadline_ms must be from 0 to {MAX_DEADLINE_MS}',
         )
     return decoded
--- a/packages/guavaroad/src/guavaroad/settings.py
+++ b/packages/guavaroad/src/guavaroad/settings.py
@@ -77,6 +77,9 @@
 
     Attributes:
         body_bytes: Largest request body.
+        held_body_bytes: Most bytes of request bodies held at once.
+        request_timeout_s: From the first byte of a request to its last.
+        connections: Most connections of clients, operators and peers.
         queued_tasks: Most tasks waiting in all.
         kept_outcomes: Most ended submissions kept.
         id_lifetime_s: How long a submission id is good.
@@ -87,6 +90,9 @@
     """
 
     body_bytes: Annotated[int, pydantic.Field(ge=1024)] = 8 * 1024 * 1024
+    held_body_bytes: Annotated[int, pydantic.Field(ge=1024)] = 64 * 1024 * 1024
+    request_timeout_s: Seconds = 20
+    connections: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 4000
     queued_tasks: Annotated[int, pydantic.Field(ge=1)] = 200_000
     kept_outcomes: Annotated[int, pydantic.Field(ge=1)] = 100_000
     id_lifetime_s: Seconds = 3600
