Stop as planned on SIGTERM and cut nothing

The loop's own handler stopped the process at the signal and cut every request; signals go to the state machine now. A second signal or drain_s ends it with exit code 1 and one log line for each part that was cut.

Ruled out: ending the loop as soon as the last answer is written, since the loop drops what the socket has not taken yet; the stop waits for the connections to close instead.

Seen to fail first: without the signal adapter the scenario of a real process ends with requests cut (the library's handler stops the loop).

--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -118,12 +118,16 @@
     context.lines = [context.instance.connect() for _ in range(count)]
 
 
-@behave.when('a client submits a task and vanishes')
-def when_vanishes(context):
+def mint_key(context):
     text = context.instance.ask(
         edge_support.request(path='/v1/submission-ids', body=b'{"count":1}')
     )
-    context.key = decoded(text)['extra']['submission_ids'][0]
+    return decoded(text)['extra']['submission_ids'][0]
+
+
+@behave.when('a client submits a task and vanishes')
+def when_vanishes(context):
+    context.key = mint_key(context)
     line = context.instance.connect()
     line.send(edge_support.request(body=GOOD, Idempotency_Key=context.key))
     line.hang_up()
--- a/features/steps/edge_support.py
+++ b/features/steps/edge_support.py
@@ -13,6 +13,7 @@
 from guavaroad.ports import platform, upstreams
 from guavaroad.services import configuration
 
+STEP_S = 0.05
 ADDRESS = '127.0.0.1:8080'
 
 
@@ -114,6 +115,18 @@
         for changed in self.app.directory.on_change:
             changed(platform.InstanceList(entries=(), upstreams=(UPSTREAM,)))
 
+        self.drain_result = None
+        self.app.drain.ended.addCallback(self.drained)
+
+    def drained(self, _):
+        """Keep the result of the planned stop."""
+        self.drain_result = self.app.drain.result
+
+    def pass_time(self, seconds):
+        """Let time pass in small steps."""
+        steps = round(seconds / STEP_S)
+        self.reactor.pump([STEP_S for _ in range(steps)])
+
     def connect(self):
         """Open a client's connection."""
         return Line(self.site)
--- a/packages/guavaroad/src/guavaroad/adapters/http_api_channel.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api_channel.py
@@ -53,7 +53,8 @@
             return
         if self.receiving is None and not self.handling:
             self.receiving = self.site.timers.call_after(
-                self.site.bounds.request_timeout_s, self.time_out
+                self.site.bounds.request_timeout_s,
+                lambda: self.refuse(_too_slow()),
             )
         super().dataReceived(data)
 
@@ -75,12 +76,19 @@
         self.handling = True
         super().allContentReceived()
 
+    def checkPersistence(self, request: http.Request, version: bytes) -> bool:
+        """Return whether the connection stays open after the answer."""
+        persistent: bool = super().checkPersistence(request, version)
+        if persistent and self.site.leaving:
+            request.setHeader(b'Connection', b'close')
+            return False
+        return persistent
+
     def requestDone(self, request: http.Request) -> None:
         """Go on with the next request of the connection, or end it."""
         self.handling = False
+        self.persistent = self.persistent and not self.site.leaving
         super().requestDone(request)
-        if self.site.closing:
-            self.close_when_idle()
 
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
@@ -105,10 +113,6 @@
         if not self.busy():
             self.loseConnection()
 
-    def time_out(self) -> None:
-        """Refuse a request that did not arrive whole in time."""
-        self.refuse(answers.plain(codes.ResultCode.REQUEST_TIMEOUT))
-
     def refuse(self, answer: answers.Answer) -> None:
         """Write an answer and close; the rest of the input is dropped.
 
@@ -130,3 +134,7 @@
                 detail='the head of the request is not HTTP within bounds',
             )
         )
+
+
+def _too_slow() -> answers.Answer:
+    return answers.plain(codes.ResultCode.REQUEST_TIMEOUT)
--- a/packages/guavaroad/src/guavaroad/adapters/http_api_site.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api_site.py
@@ -40,7 +40,7 @@
         bounds: What it takes in.
         timers: Timer service.
         channels: Connections open now.
-        closing: Whether connections end with their answer in progress.
+        leaving: Whether connections end with the answer in progress.
         held_bytes: Bytes of request bodies held now.
     """
 
@@ -66,7 +66,7 @@
         self.timers = timer_service
         self.bounds = bounds
         self.channels: set[http_api_channel.BoundedChannel] = set()
-        self.closing = False
+        self.leaving = False
         self.held_bytes = 0
 
     def log(self, request: http.Request) -> None:
@@ -105,9 +105,12 @@
         """Return the connections with a request that has no whole answer."""
         return sum(channel.busy() for channel in self.channels)
 
+    def leave(self) -> None:
+        """Have every connection end with its next answer."""
+        self.leaving = True
+
     def close_connections(self) -> None:
-        """End every connection once its answer is written and sent."""
-        self.closing = True
+        """End the idle connections once what was written is sent."""
         for channel in tuple(self.channels):
             channel.close_when_idle()
 
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -4,12 +4,11 @@
 
 import loguru
 import prometheus_client
-from twisted.internet import defer
 
 from guavaroad import composition, settings
-from guavaroad.adapters import http_api, http_api_tokens
+from guavaroad.adapters import http_api, http_api_site, http_api_tokens
 from guavaroad.ports import platform
-from guavaroad.services import dispatch
+from guavaroad.services import dispatch, drain
 
 _LOG_PREFIX: Final = 'app:'
 
@@ -19,6 +18,7 @@
 
     Attributes:
         base: What every part is built on.
+        exit_code: Exit code of the process, once the loop has ended.
     """
 
     def __init__(self, *, reactor: Any, chosen: settings.Settings) -> None:
@@ -32,6 +32,12 @@
         self.submissions = composition.submission_service(
             self.base, self.dispatcher, self.configuration
         )
+        self.site = self.client_site()
+        self.drain = composition.drain_service(
+            self.base, self.submissions, self.site
+        )
+        self.drain.ended.addCallback(self.stopped)
+        self.exit_code = 0
         self.directory.on_change.append(self.upstreams_changed)
 
     def upstreams_changed(self, listed: platform.InstanceList) -> None:
@@ -40,8 +46,8 @@
             dispatch.static_uses(listed.upstreams, len(listed.entries))
         )
 
-    def listen(self) -> Any:
-        """Open the client port and begin to follow the platform."""
+    def client_site(self) -> http_api_site.ApiSite:
+        """Return the site of the client port."""
         pages = http_api.Pages(
             submission_service=self.submissions,
             configuration_service=self.configuration,
@@ -52,13 +58,19 @@
             tokens=http_api_tokens.Tokens(tokens=self.base.settings.tokens),
             routes=http_api.route_table(pages),
         )
-        site = composition.client_site(self.base, api)
+        return composition.client_site(self.base, api)
+
+    def listen(self) -> None:
+        """Open the client port and begin to follow the platform."""
         address = self.base.incarnation.address
-        host, _, port = address.rpartition(':')
+        host, _, number = address.rpartition(':')
+        port = self.base.reactor.listenTCP(
+            int(number), self.site, interface=host
+        )
+        self.drain.hooks.on_closing.append(port.stopListening)
         self.configuration.refresh()
         self.directory.refresh()
         loguru.logger.info('{} listening on {}', _LOG_PREFIX, address)
-        return self.base.reactor.listenTCP(int(port), site, interface=host)
 
     def state(self) -> dict[str, Any]:
         """Return the dump of this process's state."""
@@ -80,7 +92,11 @@
             ],
         }
 
-    def stop(self) -> 'defer.Deferred[None]':
-        """Refuse new work."""
-        self.submissions.draining = True
-        return defer.succeed(None)
+    def stop(self) -> None:
+        """Begin the planned stop; a second call ends it."""
+        self.drain.request_stop()
+
+    def stopped(self, result: drain.DrainResult) -> None:
+        """End the loop once the planned stop has ended."""
+        self.exit_code = drain.exit_code(result)
+        self.base.reactor.stop()
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -18,6 +18,7 @@
     configuration,
     directory,
     dispatch,
+    drain,
     forwarding,
     outcomes,
     submissions,
@@ -154,3 +155,20 @@
             request_timeout_s=limits.request_timeout_s,
         ),
     )
+
+
+def drain_service(
+    base: Foundation,
+    submitted: submissions.SubmissionService,
+    site: http_api_site.ApiSite,
+) -> drain.DrainService:
+    """Return the planned stop, with what it waits for."""
+    service = drain.DrainService(
+        timer_service=base.timers, bound_s=base.settings.drain_s
+    )
+    service.hooks.on_leaving.extend((submitted.refuse_new, site.leave))
+    service.hooks.on_closing.append(site.close_connections)
+    service.watch('submissions', submitted.book.open_count)
+    service.watch('requests', site.requests_in_progress)
+    service.watch('connections', site.connection_count, drain.Phase.CLOSING)
+    return service
--- a/packages/guavaroad/src/guavaroad/main.py
+++ b/packages/guavaroad/src/guavaroad/main.py
@@ -12,6 +12,7 @@
 from twisted.internet import main as reactor_main
 
 from guavaroad import __version__, app, settings
+from guavaroad.adapters import stop_signals
 
 _SETTINGS = flags.DEFINE_string(
     'settings', 'guavaroad.yaml', 'YAML file with the settings.'
@@ -48,7 +49,9 @@
     reactor_main.installReactor(reactor)
     application = app.Application(reactor=reactor, chosen=chosen)
     application.listen()
-    reactor.run()
+    stop_signals.follow(reactor, application.stop)
+    reactor.run(installSignalHandlers=False)
+    sys.exit(application.exit_code)
 
 
 def run() -> None:
--- a/packages/guavaroad/src/guavaroad/services/outcomes.py
+++ b/packages/guavaroad/src/guavaroad/services/outcomes.py
@@ -45,6 +45,10 @@
         """Return the entry of an id, if one is kept."""
         return self.entries.get(submission_id)
 
+    def open_count(self) -> int:
+        """Return the submissions that have not ended."""
+        return len(self.entries) - len(self.ended)
+
     def open(self, submission_id: names.SubmissionId, digest: str) -> Entry:
         """Add an entry for a submission that was just taken."""
         entry = Entry(digest=digest)
--- a/packages/guavaroad/src/guavaroad/services/submissions.py
+++ b/packages/guavaroad/src/guavaroad/services/submissions.py
@@ -102,6 +102,10 @@
         self.default_deadline_s = default_deadline_s
         self.draining = False
 
+    def refuse_new(self) -> None:
+        """Take no new submission; known ones go on."""
+        self.draining = True
+
     def mint_block(self, team: names.TeamName, count: int) -> answers.Answer:
         """Answer a request for fresh ids."""
         minted = [self.minter.mint(team) for _ in range(count)]
