--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.ready
 
-.PHONY: setup format lint types scenarios test demo bench clean
+.PHONY: setup format lint types scenarios test demo bench capacity clean
 
 $(STAMP): pyproject.toml constraints.txt requirements-dev.txt packages/guavaroad/pyproject.toml packages/guavaroadctl/pyproject.toml standins/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -15,6 +15,7 @@
 setup: $(STAMP)
 
 format: setup
+	$(BIN)/ruff format --quiet .
 	$(BIN)/ruff check --quiet --fix .
 	$(BIN)/ruff format --quiet .
 
@@ -37,5 +38,8 @@
 bench: setup
 	$(BIN)/python bench/run.py
 
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of state, messages and processor time, measured on real processes."""
--- /dev/null
+++ b/bench/capacity/slopes.py
@@ -0,0 +1,86 @@
+"""Straight lines through measured points."""
+
+import dataclasses
+import statistics
+from collections.abc import Sequence
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Point:
+    """One measured point.
+
+    Attributes:
+        size: What was varied.
+        measured: What was read, in the unit of its series.
+    """
+
+    size: float
+    measured: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Series:
+    """Points of one quantity over one size.
+
+    Attributes:
+        name: What was measured.
+        size_name: What was varied.
+        unit: Unit of the measured values.
+        points: Points in the order of measurement.
+    """
+
+    name: str
+    size_name: str
+    unit: str
+    points: tuple[Point, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Line:
+    """Least-squares line.
+
+    Attributes:
+        slope: Unit of the series for one more of the size.
+        intercept: Value at size zero.
+        r_squared: Part of the variance that the line explains.
+    """
+
+    slope: float
+    intercept: float
+    r_squared: float
+
+    def at(self, size: float) -> float:
+        """Return the value of the line at a size."""
+        return self.intercept + self.slope * size
+
+
+def point(size: float, measured: float) -> Point:
+    """Return a point."""
+    return Point(size=size, measured=measured)
+
+
+def series(name: str, size_name: str, unit: str, points: list[Point]) -> Series:
+    """Return a series of points."""
+    return Series(
+        name=name, size_name=size_name, unit=unit, points=tuple(points)
+    )
+
+
+def fit(points: Sequence[Point]) -> Line:
+    """Fit a line.
+
+    Args:
+        points: At least two points of different size.
+
+    Returns:
+        The least-squares line.
+    """
+    sizes = [point.size for point in points]
+    measured = [point.measured for point in points]
+    slope, intercept = statistics.linear_regression(sizes, measured)
+    if len(set(measured)) == 1:
+        return Line(slope=slope, intercept=intercept, r_squared=1)
+    correlation = statistics.correlation(sizes, measured)
+    return Line(
+        slope=slope, intercept=intercept, r_squared=correlation * correlation
+    )
--- a/standins/src/guavaroad_standins/platform.py
+++ b/standins/src/guavaroad_standins/platform.py
@@ -102,6 +102,7 @@
 
     def serve_instances(self, _: server.Request) -> web.Answer:
         """Serve the instance list, frozen if so switched."""
+        self.table.counters.list_reads += 1
         if not self.faults.list_frozen:
             self.shown_instances = self.instances
         return web.Answer(body=self.shown_instances)
--- a/standins/src/guavaroad_standins/rows.py
+++ b/standins/src/guavaroad_standins/rows.py
@@ -47,6 +47,7 @@
     transactions: int = 0
     rows_written: int = 0
     reads: int = 0
+    list_reads: int = 0
 
 
 class Table:
