Carry typed messages between instances in batches over NNG

Membership, slot leases and patches need a message path between instances that never repeats a message and never blocks the one loop.

Push0 to each peer and one Pull0: neither resends. Ruled out: Req0 and Surveyor0 (resend by themselves), Pair1 (one socket for each pair on both sides, where Pull0 takes every peer on one), and arecv, which completes in a thread of the library and allocates for each frame; the reactor reads the pull socket's descriptor instead, so that handlers run on the loop alone.

A frame holds all messages to a peer of one 5 ms tick. Messages wait at most 1 s for a connection, and 4,096 a peer; the rest is dropped and counted. Garbage, oversize, other versions and unknown kinds are counted.

Found on the way: a frame of no bytes from a stranger made pynng raise out of the read and would have ended reading for good (scenario "no bytes" failed with that RuntimeError before the catch).

For domain tests guavaroad_standins.memory_bus carries messages on the fake timer with cuts, losses, delays, reordering and frozen processes.

--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -14,6 +14,8 @@
     http_client,
     http_platform,
     http_upstreams,
+    nng_peers,
+    peer_wire,
     reactor_timers,
 )
 from guavaroad.domain import identity, names
@@ -56,6 +58,16 @@
             url=chosen.platform.url,
             timeout_s=chosen.platform.timeout_s,
         )
+        self.bus = nng_peers.NngBus(
+            reactor=reactor,
+            timer_service=self.timers,
+            sender=peer_wire.Sender(
+                availability_zone=self.incarnation.availability_zone,
+                address=self.incarnation.address,
+                epoch=self.incarnation.epoch,
+                peer_address=names.PeerAddress(chosen.instance.peer_address),
+            ),
+        )
         self.configuration = configuration.ConfigurationService(
             table=http_platform.HttpTable(link=self.platform),
             timer_service=self.timers,
@@ -112,6 +124,7 @@
         site.noisy = False
         site.displayTracebacks = False
         host, _, port = self.incarnation.address.rpartition(':')
+        self.bus.start()
         self.configuration.refresh()
         self.directory.refresh()
         loguru.logger.info('{} listening on {}', _LOG_PREFIX, host)
@@ -125,6 +138,7 @@
             'address': self.incarnation.address,
             'epoch': self.incarnation.epoch,
             'config_version': known.version if known else None,
+            'bus': self.bus.describe(),
             'queued_tasks': self.dispatcher.queue.task_count,
             'upstreams': [
                 {
--- a/packages/guavaroad/src/guavaroad/ports/peers.py
+++ b/packages/guavaroad/src/guavaroad/ports/peers.py
@@ -60,6 +60,9 @@
             handler: Called with the sender and the message.
         """
 
+    def forget(self, address: names.PeerAddress) -> None:
+        """Close the way to a peer that is gone; a later send dials again."""
+
 
 class MembershipPort(Protocol):
     """The view of live entry instances, this one left out."""
