--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -24,6 +24,7 @@
     def __init__(self, *, reactor: Any, chosen: settings.Settings) -> None:
         self.base = composition.foundation(reactor, chosen)
         self.platform = composition.platform_link(self.base)
+        self.bus = composition.peer_bus(self.base)
         self.configuration = composition.configuration_service(
             self.base, self.platform
         )
@@ -55,6 +56,7 @@
         site = composition.client_site(self.base, api)
         address = self.base.incarnation.address
         host, _, port = address.rpartition(':')
+        self.bus.start()
         self.configuration.refresh()
         self.directory.refresh()
         loguru.logger.info('{} listening on {}', _LOG_PREFIX, address)
@@ -69,6 +71,7 @@
             'address': incarnation.address,
             'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
+            'bus': self.bus.describe(),
             'queued_tasks': self.dispatcher.queue.task_count,
             'upstreams': [
                 {
