Check settings whole and log by part, without secrets

Cause: an error of the settings check printed the value it refused, so a token that was too short or stood under a misspelt key went to standard error; PyYAML quotes the line of a syntax error, with the same effect. Lists, null and strings in place of numbers passed or met a library's wording; a key given twice lost its first value silently; two equal tokens, or one of neither team nor operator, were accepted.

Now sentences are made from the error's kind and the model: path, what is allowed, and the value unless it stands under `tokens`. YAML errors give line and column, with quoted parts hidden. Values must be of the exact type.

Logs: one adapter with a prefix for each part, text or JSON lines, secrets and bearer tokens hidden, line breaks escaped, and Twisted's observer bridged, so that an unhandled error in a Deferred appears. Ruled out: loguru's own `serialize` (each line repeats the record's internals) and its `diagnose` (prints the values of variables).

Seen to fail first: `must be over 0.0, not 0` and `must not be empty` for a short token, and the Twisted line whose reason stood without its sentence.

--- /dev/null
+++ b/features/steps/settings_log_steps.py
@@ -0,0 +1,104 @@
+"""Steps about the lines that the log writes."""
+
+import gc
+import io
+import json
+from unittest import mock
+
+import behave
+import loguru
+from twisted import logger as twisted_logger
+from twisted.internet import defer
+
+from guavaroad import settings
+from guavaroad.adapters import logs
+
+
+def set_up(context, secrets=(), **chosen):
+    context.lines = io.StringIO()
+    beginner = mock.Mock()
+    with (
+        mock.patch('sys.stderr', context.lines),
+        mock.patch.object(twisted_logger, 'globalLogBeginner', beginner),
+    ):
+        logs.set_up(settings.Logs(**chosen), secrets=secrets)
+    context.add_cleanup(loguru.logger.remove)
+    began = beginner.beginLoggingTo.call_args
+    observer = began.args[0][0]
+    twisted_logger.globalLogPublisher.addObserver(observer)
+    context.add_cleanup(
+        twisted_logger.globalLogPublisher.removeObserver, observer
+    )
+
+
+def written(context):
+    return context.lines.getvalue().splitlines()
+
+
+def only_line(context):
+    lines = written(context)
+    assert len(lines) == 1, lines
+    return lines[0]
+
+
+@behave.given('logs at level {level:w}')
+def given_logs(context, level):
+    set_up(context, level=level)
+
+
+@behave.given('logs at level {level:w} as JSON')
+def given_json_logs(context, level):
+    set_up(context, level=level, json_lines=True)
+
+
+@behave.given('logs at level {level:w} that hide "{secret}"')
+def given_hiding_logs(context, level, secret):
+    set_up(context, secrets=[secret], level=level)
+
+
+@behave.when('part "{part}" says "{sentence}"')
+def when_said(context, part, sentence):
+    logs.logger_of(part).info('{}', sentence)
+
+
+@behave.when('part "{part}" says a text with a line break')
+def when_break_said(context, part):
+    logs.logger_of(part).info('bad job name {}', 'x\n2026 INFO api: forged')
+
+
+@behave.when('a Deferred fails and nobody handles it')
+def when_unhandled(context):
+    defer.fail(RuntimeError('lost answer'))
+    gc.collect()
+
+
+@behave.then('one line ends with "{ending}"')
+def then_ends(context, ending):
+    line = only_line(context)
+    assert line.endswith(ending), line
+
+
+@behave.then('no line is written')
+def then_silent(context):
+    assert not written(context)
+
+
+@behave.then('{count:d} line is written')
+def then_lines(context, count):
+    assert len(written(context)) == count, written(context)
+
+
+@behave.then(
+    'the JSON line has part "{part}", level "{level}" and message "{message}"'
+)
+def then_json(context, part, level, message):
+    line = only_line(context)
+    fields = json.loads(line)
+    assert fields.pop('time')
+    expected = {'part': part, 'level': level, 'message': message}
+    assert fields == expected, fields
+
+
+@behave.then('a line contains "{text}"')
+def then_contains(context, text):
+    assert any(text in line for line in written(context)), written(context)
--- /dev/null
+++ b/features/steps/settings_steps.py
@@ -0,0 +1,126 @@
+"""Steps about the settings file and the flags of `guavaroad`."""
+
+import copy
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import types
+
+import behave
+
+from guavaroad import settings
+
+BASE = types.MappingProxyType(
+    {
+        'instance': {
+            'availability_zone': 'kigali-1',
+            'client_address': '127.0.0.1:8080',
+            'peer_address': '127.0.0.1:8081',
+        },
+        'platform': {'url': 'http://127.0.0.1:9000'},
+        'tokens': [{'token': 'long-secret', 'team': 'office'}],
+    }
+)
+CALL_TIMEOUT_S = 60
+
+
+def write_settings(context, text):
+    folder = pathlib.Path(tempfile.mkdtemp(prefix='guavaroad-settings-'))
+    context.settings_path = folder / 'guavaroad.yaml'
+    context.settings_path.write_bytes(text.encode('utf-8', 'surrogateescape'))
+
+
+def call_guavaroad(context, *words):
+    done = subprocess.run(
+        [sys.executable, '-m', 'guavaroad.main', *words],
+        capture_output=True,
+        text=True,
+        timeout=CALL_TIMEOUT_S,
+        check=False,
+    )
+    context.exit_code = done.returncode
+    context.said = done.stdout + done.stderr
+
+
+@behave.given('the settings of an instance')
+def given_settings(context):
+    context.raw_settings = copy.deepcopy(dict(BASE))
+    write_settings(context, json.dumps(context.raw_settings))
+
+
+@behave.given('the field {path} is {given}')
+def given_field(context, path, given):
+    section = context.raw_settings
+    *parents, last = path.split('.')
+    for parent in parents:
+        section = section.setdefault(parent, {})
+    section[last] = json.loads(given)
+    write_settings(context, json.dumps(context.raw_settings))
+
+
+@behave.given('a settings file of {text}')
+def given_file(context, text):
+    write_settings(context, json.loads(text))
+
+
+@behave.given('the settings of an instance whose client port is taken')
+def given_taken_port(context):
+    taken = socket.socket()
+    context.add_cleanup(taken.close)
+    taken.bind(('127.0.0.1', 0))
+    taken.listen()
+    port = taken.getsockname()[1]
+    given_settings(context)
+    given_field(context, 'instance.client_address', f'"127.0.0.1:{port}"')
+
+
+@behave.when('guavaroad checks them')
+def when_checked(context):
+    call_guavaroad(context, '--check', f'--settings={context.settings_path}')
+
+
+@behave.when('guavaroad starts')
+def when_started(context):
+    call_guavaroad(context, f'--settings={context.settings_path}')
+
+
+@behave.when('guavaroad checks the settings file "{path}"')
+def when_path_checked(context, path):
+    call_guavaroad(context, '--check', f'--settings={path}')
+
+
+@behave.when('guavaroad is called with "{words}"')
+def when_called(context, words):
+    call_guavaroad(context, *words.split())
+
+
+@behave.then('guavaroad exits with {code:d} and says "{message}"')
+def then_says(context, code, message):
+    assert context.exit_code == code, (context.exit_code, context.said)
+    assert message in context.said, context.said
+
+
+@behave.then('guavaroad never says "{text}"')
+def then_never_says(context, text):
+    assert text not in context.said, context.said
+
+
+@behave.when('the settings are loaded')
+def when_loaded(context):
+    context.loaded = settings.load_settings(context.settings_path)
+
+
+@behave.then('they are refused with "{message}"')
+def then_refused_with(context, message):
+    problems = context.loaded.problems
+    assert any(message in problem for problem in problems), problems
+    assert all(str(context.settings_path) in problem for problem in problems)
+
+
+@behave.then('no problem shows "{text}"')
+def then_no_problem_shows(context, text):
+    problems = context.loaded.problems
+    assert not any(text in problem for problem in problems), problems
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/adapters/strict_yaml.py
@@ -0,0 +1,100 @@
+"""Reads YAML that says each thing once, with errors that quote nothing.
+
+A settings file holds secrets, so no message repeats text of the file.
+"""
+
+import dataclasses
+import pathlib
+import re
+from typing import Any, Final
+
+import yaml
+
+_QUOTED: Final = re.compile(r'([\'"]).*?\1')
+_HIDDEN: Final = "'...'"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Unreadable:
+    """The file can't be read as YAML.
+
+    Attributes:
+        reason: What is wrong and where, without text of the file.
+    """
+
+    reason: str
+
+
+class StrictLoader(yaml.SafeLoader):
+    """A safe loader that refuses a key given twice."""
+
+    def construct_mapping(
+        self, node: yaml.MappingNode, deep: bool = False
+    ) -> dict[Any, Any]:
+        """Return the mapping of a node.
+
+        Args:
+            node: Parsed mapping.
+            deep: Whether to construct the values at once.
+
+        Returns:
+            The mapping.
+
+        Raises:
+            ConstructorError: If a key occurs twice.
+        """
+        seen: set[str] = set()
+        for key, _ in node.value:
+            if key.value in seen:
+                raise yaml.constructor.ConstructorError(
+                    problem=f'the key {key.value} is given twice',
+                    problem_mark=key.start_mark,
+                )
+            seen.add(key.value)
+        return super().construct_mapping(node, deep=deep)
+
+
+def read_file(path: pathlib.Path) -> Any:
+    """Read a YAML file.
+
+    Args:
+        path: File to read.
+
+    Returns:
+        The decoded value, or `Unreadable`.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as broken:
+        return Unreadable(reason=f'{broken.strerror}')
+    except UnicodeDecodeError as undecodable:
+        return Unreadable(reason=f'not UTF-8 at byte {undecodable.start}')
+    return decode(text)
+
+
+def decode(text: str) -> Any:
+    """Decode YAML.
+
+    Args:
+        text: One YAML document.
+
+    Returns:
+        The decoded value, or `Unreadable`.
+    """
+    try:
+        # The loader extends the safe one.
+        return yaml.load(text, Loader=StrictLoader)
+    except yaml.MarkedYAMLError as broken:
+        return Unreadable(reason=_describe(broken))
+    except (yaml.YAMLError, ValueError, TypeError):
+        return Unreadable(reason='not YAML')
+
+
+def _describe(broken: yaml.MarkedYAMLError) -> str:
+    problem = _QUOTED.sub(_HIDDEN, broken.problem or 'not YAML')
+    mark = broken.problem_mark
+    if mark is None:
+        return problem
+    line = mark.line + 1
+    column = mark.column + 1
+    return f'line {line}, column {column}: {problem}'
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -3,7 +3,6 @@
 import secrets
 from typing import Any, Final
 
-import loguru
 import prometheus_client
 from twisted.internet import defer
 from twisted.web import server
@@ -14,6 +13,7 @@
     http_client,
     http_platform,
     http_upstreams,
+    logs,
     reactor_timers,
 )
 from guavaroad.domain import identity, names
@@ -29,7 +29,7 @@
 
 _EPOCH_BYTES: Final = 6
 _CONNECT_TIMEOUT_S: Final = 2
-_LOG_PREFIX: Final = 'app:'
+_LOG: Final = logs.logger_of('app')
 
 
 class Application:
@@ -114,7 +114,7 @@
         host, _, port = self.incarnation.address.rpartition(':')
         self.configuration.refresh()
         self.directory.refresh()
-        loguru.logger.info('{} listening on {}', _LOG_PREFIX, host)
+        _LOG.info('listening on {}', self.incarnation.address)
         return self.reactor.listenTCP(int(port), site, interface=host)
 
     def state(self) -> dict[str, Any]:
--- a/packages/guavaroad/src/guavaroad/main.py
+++ b/packages/guavaroad/src/guavaroad/main.py
@@ -5,13 +5,13 @@
 import sys
 from collections.abc import Sequence
 
-import loguru
 from absl import app as absl_app
 from absl import flags
-from twisted.internet import asyncioreactor
+from twisted.internet import asyncioreactor, error
 from twisted.internet import main as reactor_main
 
 from guavaroad import __version__, app, settings
+from guavaroad.adapters import logs
 
 _SETTINGS = flags.DEFINE_string(
     'settings', 'guavaroad.yaml', 'YAML file with the settings.'
@@ -20,8 +20,10 @@
 _VERSION = flags.DEFINE_bool('version', False, 'Print the version and exit.')
 
 
-def main(_: Sequence[str]) -> None:
+def main(argv: Sequence[str]) -> None:
     """Run until the process is told to stop."""
+    if argv[1:]:
+        sys.exit(f'guavaroad: unexpected argument {argv[1]!r}')
     if _VERSION.value:
         sys.stdout.write(f'guavaroad {__version__}\n')
         return
@@ -42,12 +44,14 @@
     Args:
         chosen: Checked settings.
     """
-    loguru.logger.remove()
-    loguru.logger.add(sys.stderr, level=chosen.logs.level)
+    logs.set_up(chosen.logs, secrets=chosen.secrets())
     reactor = asyncioreactor.AsyncioSelectorReactor(asyncio.new_event_loop())
     reactor_main.installReactor(reactor)
     application = app.Application(reactor=reactor, chosen=chosen)
-    application.listen()
+    try:
+        application.listen()
+    except error.CannotListenError as taken:
+        sys.exit(f'guavaroad: no port: {taken}')
     reactor.run()
 
 
--- a/packages/guavaroad/src/guavaroad/settings.py
+++ b/packages/guavaroad/src/guavaroad/settings.py
@@ -3,32 +3,62 @@
 import dataclasses
 import ipaddress
 import pathlib
-from typing import Annotated, Any
+from collections.abc import Iterable
+from typing import Annotated, Any, Final, Literal
+from urllib import parse as urls
 
 import pydantic
-import yaml
 
+from guavaroad import settings_problems
+from guavaroad.adapters import strict_yaml
 from guavaroad.domain.configuration import document
 
 Port = Annotated[int, pydantic.Field(ge=1, le=65_535)]
+_DIALLED: Final = (
+    'must be an IP number that others can dial, IPv6 in brackets, and a port'
+)
+
 Seconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
 
 
 def _check_address(text: str) -> str:
     host, _, port = text.rpartition(':')
+    if not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise ValueError(f'must end with a port from 1 to 65535, not {text!r}')
     try:
-        ipaddress.ip_address(host.strip('[]'))
+        number = ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
     except ValueError as broken:
-        raise ValueError('must be an IP number and a port') from broken
-    if not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise ValueError('must end with a port from 1 to 65535')
+        raise ValueError(
+            f'must be an IP number and a port, not {text!r}'
+        ) from broken
+    bracketed = host.startswith('[')
+    if number.is_unspecified or bracketed != (number.version == 6):
+        raise ValueError(f'{_DIALLED}, not {text!r}')
+    return text
+
+
+def _check_url(text: str) -> str:
+    parts = urls.urlsplit(text)
+    if parts.username is not None:
+        raise ValueError('must not carry a user or password')
+    if parts.scheme not in {'http', 'https'} or not parts.hostname:
+        raise ValueError(
+            f'must be http:// or https:// and a host, not {text!r}'
+        )
     return text
 
 
 Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+Url = Annotated[str, pydantic.AfterValidator(_check_url)]
+
 
+class Section(document.Strict):
+    """A section that takes values of the exact type alone."""
 
-class Instance(document.Strict):
+    model_config = pydantic.ConfigDict(strict=True)
+
+
+class Instance(Section):
     """Who and where this instance is.
 
     Attributes:
@@ -41,8 +71,18 @@
     client_address: Address
     peer_address: Address
 
+    @pydantic.model_validator(mode='after')
+    def check_addresses(self) -> 'Instance':
+        """Check that the two ports differ."""
+        if self.client_address == self.peer_address:
+            raise ValueError(
+                'client_address and peer_address are both '
+                f'{self.client_address}; they must differ'
+            )
+        return self
 
-class Platform(document.Strict):
+
+class Platform(Section):
     """The platform's endpoint.
 
     Attributes:
@@ -52,13 +92,13 @@
         config_period_s: Between two reads of the configuration head.
     """
 
-    url: Annotated[str, pydantic.Field(pattern='^https?://')]
+    url: Url
     timeout_s: Seconds = 5
     list_period_s: Seconds = 2
     config_period_s: Seconds = 1
 
 
-class Token(document.Strict):
+class Token(Section):
     """A bearer token.
 
     Attributes:
@@ -71,8 +111,17 @@
     team: document.Name | None = None
     operator: bool = False
 
+    @pydantic.model_validator(mode='after')
+    def check_holder(self) -> 'Token':
+        """Check that the token names exactly one kind of holder."""
+        if self.operator == (self.team is not None):
+            raise ValueError(
+                'must have a team or be operator: true, and not both'
+            )
+        return self
+
 
-class Limits(document.Strict):
+class Limits(Section):
     """Bounds of one instance.
 
     Attributes:
@@ -96,21 +145,21 @@
     fleet_size: Annotated[int, pydantic.Field(ge=1)] = 9
 
 
-class Logs(document.Strict):
+class Logs(Section):
     """Where logs go.
 
     Attributes:
         level: Least level written.
+        sink: Stream of the process that takes them.
         json_lines: Whether each record is a JSON object.
     """
 
-    level: Annotated[
-        str, pydantic.Field(pattern='^(DEBUG|INFO|WARNING|ERROR)$')
-    ] = 'INFO'
+    level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+    sink: Literal['stderr', 'stdout'] = 'stderr'
     json_lines: bool = False
 
 
-class Settings(document.Strict):
+class Settings(Section):
     """All settings of one instance.
 
     Attributes:
@@ -125,12 +174,30 @@
 
     instance: Instance
     platform: Platform
-    peers: tuple[Address, ...] = ()
-    tokens: Annotated[tuple[Token, ...], pydantic.Field(min_length=1)]
+    peers: Annotated[tuple[Address, ...], pydantic.Field(strict=False)] = ()
+    tokens: Annotated[
+        tuple[Token, ...],
+        pydantic.Field(min_length=1, strict=False),
+    ]
     limits: Limits = Limits()
     logs: Logs = Logs()
     drain_s: Seconds = 30
 
+    @pydantic.model_validator(mode='after')
+    def check_whole(self) -> 'Settings':
+        """Check what spans several entries."""
+        places = _repeated(known.token for known in self.tokens)
+        if places:
+            raise ValueError(f'tokens.{places[0]}.token: is given before')
+        peers = _repeated(self.peers)
+        if peers:
+            raise ValueError(f'peers.{peers[0]}: is given before')
+        return self
+
+    def secrets(self) -> list[str]:
+        """Return the texts that nothing may show."""
+        return [known.token.get_secret_value() for known in self.tokens]
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BadSettings:
@@ -152,12 +219,10 @@
     Returns:
         The settings, or every problem found.
     """
-    try:
-        raw = yaml.safe_load(path.read_text())
-    except OSError as broken:
-        return BadSettings(problems=(f'{path}: {broken.strerror}',))
-    except (yaml.YAMLError, UnicodeDecodeError) as broken:
-        return BadSettings(problems=(f'{path}: not YAML: {broken}',))
+    raw = strict_yaml.read_file(path)
+    match raw:
+        case strict_yaml.Unreadable():
+            return BadSettings(problems=(f'{path}: {raw.reason}',))
     return check_settings(str(path), raw)
 
 
@@ -174,7 +239,17 @@
     try:
         return Settings.model_validate(raw)
     except pydantic.ValidationError as broken:
-        found = document.problems_of(broken)
-        return BadSettings(
-            problems=tuple(f'{source}: {problem}' for problem in found)
-        )
+        found = settings_problems.sentences(Settings, broken)
+    return BadSettings(
+        problems=tuple(f'{source}: {problem}' for problem in found)
+    )
+
+
+def _repeated(entries: Iterable[Any]) -> list[int]:
+    """Return the positions of entries that stand earlier too."""
+    listed = list(entries)
+    return [
+        position
+        for position, entry in enumerate(listed)
+        if entry in listed[:position]
+    ]
