--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -2,16 +2,15 @@
 
 from typing import Any, Final
 
-import loguru
 import prometheus_client
 from twisted.internet import defer
 
 from guavaroad import composition, settings
-from guavaroad.adapters import http_api, http_api_tokens
+from guavaroad.adapters import http_api, http_api_tokens, logs
 from guavaroad.ports import platform
 from guavaroad.services import dispatch
 
-_LOG_PREFIX: Final = 'app:'
+_LOG: Final = logs.logger_of('app')
 
 
 class Application:
@@ -59,7 +58,7 @@
         self.bus.start()
         self.configuration.refresh()
         self.directory.refresh()
-        loguru.logger.info('{} listening on {}', _LOG_PREFIX, address)
+        _LOG.info('listening on {}', address)
         return self.base.reactor.listenTCP(int(port), site, interface=host)
 
     def state(self) -> dict[str, Any]:
