--- a/features/steps/edge_support.py
+++ b/features/steps/edge_support.py
@@ -105,7 +105,7 @@
         self.reactor = testing.MemoryReactorClock()
         chosen = settings.check_settings('memory', raw_settings(**limits))
         self.app = app.Application(reactor=self.reactor, chosen=chosen)
-        self.app.listen()
+        self.app.open_client_port()
         self.site = self.reactor.tcpServers[0][1]
         self.upstreams = FakeUpstreams()
         self.app.dispatcher.port = self.upstreams
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -2,15 +2,19 @@
 
 from typing import Any, Final
 
-import loguru
 import prometheus_client
 
 from guavaroad import composition, settings
-from guavaroad.adapters import http_api, http_api_site, http_api_tokens
+from guavaroad.adapters import (
+    http_api,
+    http_api_site,
+    http_api_tokens,
+    logs,
+)
 from guavaroad.ports import platform
 from guavaroad.services import dispatch, drain
 
-_LOG_PREFIX: Final = 'app:'
+_LOG: Final = logs.logger_of('app')
 
 
 class Application:
@@ -24,6 +28,7 @@
     def __init__(self, *, reactor: Any, chosen: settings.Settings) -> None:
         self.base = composition.foundation(reactor, chosen)
         self.platform = composition.platform_link(self.base)
+        self.bus = composition.peer_bus(self.base)
         self.configuration = composition.configuration_service(
             self.base, self.platform
         )
@@ -61,16 +66,20 @@
         return composition.client_site(self.base, api)
 
     def listen(self) -> None:
-        """Open the client port and begin to follow the platform."""
-        address = self.base.incarnation.address
-        host, _, number = address.rpartition(':')
+        """Open the ports and begin to follow the platform."""
+        self.open_client_port()
+        self.bus.start()
+        self.configuration.refresh()
+        self.directory.refresh()
+        _LOG.info('listening on {}', self.base.incarnation.address)
+
+    def open_client_port(self) -> None:
+        """Open the port for clients, operators and forwarding peers."""
+        host, _, number = self.base.incarnation.address.rpartition(':')
         port = self.base.reactor.listenTCP(
             int(number), self.site, interface=host
         )
         self.drain.hooks.on_closing.append(port.stopListening)
-        self.configuration.refresh()
-        self.directory.refresh()
-        loguru.logger.info('{} listening on {}', _LOG_PREFIX, address)
 
     def state(self) -> dict[str, Any]:
         """Return the dump of this process's state."""
@@ -81,6 +90,7 @@
             'address': incarnation.address,
             'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
+            'bus': self.bus.describe(),
             'queued_tasks': self.dispatcher.queue.task_count,
             'upstreams': [
                 {
--- a/packages/guavaroad/src/guavaroad/services/drain.py
+++ b/packages/guavaroad/src/guavaroad/services/drain.py
@@ -13,15 +13,15 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-import loguru
 from twisted.internet import defer
 from twisted.python import failure
 
+from guavaroad.adapters import logs
 from guavaroad.ports import timers
 
 CHECK_PERIOD_S: Final = 0.05
 LAST_CALL_S: Final = 1
-_LOG_PREFIX: Final = 'drain:'
+_LOG: Final = logs.logger_of('drain')
 
 
 class Phase(enum.Enum):
@@ -163,7 +163,7 @@
 
     def begin(self) -> None:
         """Refuse new work and wait for what is in progress."""
-        loguru.logger.info('{} planned stop begins', _LOG_PREFIX)
+        _LOG.info('planned stop begins')
         self.started_s = self.timers.now()
         last_call_s = max(0, self.bound_s - LAST_CALL_S)
         self.phase = Phase.FINISHING
@@ -210,9 +210,7 @@
         """End the stop with work in progress, and say what is cut."""
         cut = self.remainders()
         for one in cut:
-            loguru.logger.error(
-                '{} cut {} {}: {}', _LOG_PREFIX, one.count, one.part, reason
-            )
+            _LOG.error('cut {} {}: {}', one.count, one.part, reason)
         if self.pending_hooks:
             hooks = Remainder(part='hooks', count=self.pending_hooks)
             cut = (*cut, hooks)
@@ -224,7 +222,7 @@
         self.result = result
         for timer in self.running:
             timer.cancel()
-        loguru.logger.info('{} planned stop ended: {}', _LOG_PREFIX, result)
+        _LOG.info('planned stop ended: {}', result)
         self.ended.callback(result)
 
     def call(self, hooks: list[Hook]) -> None:
@@ -257,6 +255,4 @@
 
 
 def _log_broken(broken: failure.Failure) -> None:
-    loguru.logger.opt(exception=broken.value).error(
-        '{} a hook failed', _LOG_PREFIX
-    )
+    _LOG.opt(exception=broken.value).error('a hook failed')
