--- a/features/edge/requests.feature
+++ b/features/edge/requests.feature
@@ -63,6 +63,31 @@
     When a client announces a body of 200000 bytes
     Then the body is kept in memory
 
+  Scenario Outline: A body of <what> is refused precisely
+    Given an instance in memory
+    When a client submits a payload of <what>
+    Then the answer has code BAD_REQUEST and its detail says <detail>
+    And a good submission still starts its tasks
+
+    Examples:
+      | what             | detail   |
+      | 100000 brackets  | nested   |
+      | bytes not UTF-8  | utf-8    |
+
+  Scenario Outline: An upstream's answer of <what> fails its task and frees its slot
+    When an upstream answers with <what>
+    Then the attempt has failed
+
+    Examples:
+      | what             |
+      | 100000 brackets  |
+      | bytes not UTF-8  |
+      | half an object   |
+
+  Scenario: An upstream's answer over the bound is dropped unread
+    When an upstream sends 5000 bytes to a client that takes 1000
+    Then the attempt is lost and the connection aborted
+
   Scenario: A body is never parsed as a form
     Given an instance in memory
     When a client sends a submission as a form
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -7,7 +7,10 @@
 import edge_support
 import loguru
 import msgspec
+from twisted.internet import error, testing
+from twisted.python import failure
 
+from guavaroad.adapters import http_client, http_upstreams
 from guavaroad.domain import attempts
 
 GOOD = b'{"tasks": [{"payload": {"echo": 1}}]}'
@@ -96,6 +99,53 @@
     )
 
 
+def odd_json(what):
+    odd = {
+        '100000 brackets': b'%s1%s' % (b'[' * 100_000, b']' * 100_000),
+        'bytes not UTF-8': b'"\xff\xfe"',
+        'half an object': b'{"echo":',
+    }
+    return odd[what]
+
+
+@behave.when('a client submits a payload of {what}')
+def when_odd_payload(context, what):
+    body = b'{"tasks": [{"payload": %s}]}' % odd_json(what)
+    context.answer_text = context.instance.ask(edge_support.request(body=body))
+
+
+@behave.when('an upstream answers with {what}')
+def when_odd_answer(context, what):
+    context.outcome = http_upstreams.json_answer(odd_json(what))
+
+
+@behave.then('the attempt has failed')
+def then_attempt_failed(context):
+    assert isinstance(context.outcome, attempts.Failed), context.outcome
+
+
+@behave.when(
+    'an upstream sends {count:d} bytes to a client that takes {bound:d}'
+)
+def when_long_answer(context, count, bound):
+    reader = http_client.BodyReader(max_bytes=bound)
+    context.transport = testing.StringTransport()
+    reader.makeConnection(context.transport)
+    for _ in range(count // 100):
+        reader.dataReceived(b'x' * 100)
+    reader.connectionLost(failure.Failure(error.ConnectionAborted()))
+    context.reader = reader
+
+
+@behave.then('the attempt is lost and the connection aborted')
+def then_dropped(context):
+    assert context.transport.disconnecting
+    broken = []
+    context.reader.whole.addErrback(broken.append)
+    broken[0].trap(http_client.AnswerTooLargeError)
+    assert context.reader.size <= context.reader.max_bytes + 100
+
+
 @behave.when('a client submits {count:d} tasks')
 def when_submits_many(context, count):
     tasks = [{'payload': index} for index in range(count)]
--- a/packages/guavaroad/src/guavaroad/adapters/http_api.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api.py
@@ -17,7 +17,7 @@
     http_api_writing,
     logs,
 )
-from guavaroad.domain import codes
+from guavaroad.domain import codes, json_input
 from guavaroad.services import answers, configuration, submissions
 
 _MAX_ID_BLOCK: Final = 10_000
@@ -64,10 +64,10 @@
     def mint(self, visit: http_api_routes.Visit) -> answers.Answer:
         """Mint a block of submission ids."""
         body = http_api_reading.body_of(visit.request) or b'{}'
-        try:
-            asked = msgspec.json.decode(body, type=http_api_reading.MintBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as broken:
-            return bad_request(str(broken))
+        asked = json_input.decode(body, http_api_reading.MintBody)
+        match asked:
+            case json_input.Malformed():
+                return bad_request(asked.reason)
         if not 1 <= asked.count <= _MAX_ID_BLOCK:
             return bad_request(f'count must be from 1 to {_MAX_ID_BLOCK}')
         team = http_api_reading.team_of(visit)
@@ -87,10 +87,10 @@
         if base is None:
             return bad_request('If-Match must name a version')
         change = http_api_reading.body_of(visit.request)
-        try:
-            msgspec.json.decode(change)
-        except (msgspec.DecodeError, UnicodeDecodeError) as broken:
-            return bad_request(f'the patch is not JSON: {broken}')
+        decoded = json_input.decode(change, object)
+        match decoded:
+            case json_input.Malformed():
+                return bad_request(f'the patch: {decoded.reason}')
         return self.configuration.patch(base, change)
 
     def show_state(self, _: http_api_routes.Visit) -> answers.Answer:
--- a/packages/guavaroad/src/guavaroad/adapters/http_upstreams.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_upstreams.py
@@ -11,12 +11,13 @@
 from twisted.web import http
 
 from guavaroad.adapters import http_client
-from guavaroad.domain import attempts
+from guavaroad.domain import attempts, json_input
 from guavaroad.ports import upstreams
 
 STARTED_HEADER: Final = 'guavaroad-started'
 LEAVING_HEADER: Final = 'guavaroad-leaving'
 TASK_HEADER: Final = 'Guavaroad-Task'
+MAX_TASK_ANSWER_BYTES: Final = 1024 * 1024
 _DETAIL_CHARS: Final = 200
 
 
@@ -48,6 +49,7 @@
             },
             body=attempt.payload,
             timeout_s=self.attempt_timeout_s,
+            max_answer_bytes=MAX_TASK_ANSWER_BYTES,
         )
         exchange = await self.client.exchange(call)
         match exchange:
@@ -92,8 +94,10 @@
     Returns:
         The answer, or a failure if it is not JSON.
     """
-    try:
-        msgspec.json.decode(body)
-    except msgspec.DecodeError as broken:
-        return attempts.Failed(detail=f'answer is not JSON: {broken}')
+    decoded = json_input.decode(body, object)
+    match decoded:
+        case json_input.Malformed():
+            return attempts.Failed(
+                detail=f'answer is not JSON: {decoded.reason}'
+            )
     return attempts.Answered(body=msgspec.Raw(body))
--- a/packages/guavaroad/src/guavaroad/services/submissions.py
+++ b/packages/guavaroad/src/guavaroad/services/submissions.py
@@ -8,7 +8,14 @@
 import xxhash
 from twisted.internet import defer
 
-from guavaroad.domain import codes, identity, jobs, names, submission
+from guavaroad.domain import (
+    codes,
+    identity,
+    jobs,
+    json_input,
+    names,
+    submission,
+)
 from guavaroad.domain.configuration import document
 from guavaroad.ports import timers
 from guavaroad.services import answers, dispatch, forwarding, outcomes
@@ -291,12 +298,12 @@
     Returns:
         The body, or the refusal that says what is wrong with it.
     """
-    try:
-        decoded = msgspec.json.decode(body, type=SubmitBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as broken:
-        return jobs.JobEnded(
-            code=codes.ResultCode.BAD_REQUEST, detail=str(broken)
-        )
+    decoded = json_input.decode(body, SubmitBody)
+    match decoded:
+        case json_input.Malformed():
+            return jobs.JobEnded(
+                code=codes.ResultCode.BAD_REQUEST, detail=decoded.reason
+            )
     if not decoded.tasks:
         return jobs.JobEnded(
             code=codes.ResultCode.BAD_REQUEST, detail='tasks is empty'
