Start the peer bus apart from the client port

Cause: the in-memory scenarios open the client port on a memory reactor, while the bus opens a real socket; two instances in one test process collided.

--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -55,12 +55,15 @@
         site = composition.client_site(self.base, api)
         address = self.base.incarnation.address
         host, _, port = address.rpartition(':')
-        self.bus.start()
         self.configuration.refresh()
         self.directory.refresh()
         _LOG.info('listening on {}', address)
         return self.base.reactor.listenTCP(int(port), site, interface=host)
 
+    def join_peers(self) -> None:
+        """Begin to take messages of peers."""
+        self.bus.start()
+
     def state(self) -> dict[str, Any]:
         """Return the dump of this process's state."""
         known = self.configuration.in_force
--- a/packages/guavaroad/src/guavaroad/main.py
+++ b/packages/guavaroad/src/guavaroad/main.py
@@ -49,6 +49,7 @@
     reactor_main.installReactor(reactor)
     application = app.Application(reactor=reactor, chosen=chosen)
     try:
+        application.join_peers()
         application.listen()
     except error.CannotListenError as taken:
         sys.exit(f'guavaroad: no port: {taken}')
