--- a/packages/guavaroad/src/guavaroad/main.py
+++ b/packages/guavaroad/src/guavaroad/main.py
@@ -11,7 +11,7 @@
 from twisted.internet import main as reactor_main
 
 from guavaroad import __version__, app, settings
-from guavaroad.adapters import logs
+from guavaroad.adapters import logs, stop_signals
 
 _SETTINGS = flags.DEFINE_string(
     'settings', 'guavaroad.yaml', 'YAML file with the settings.'
@@ -49,11 +49,12 @@
     reactor_main.installReactor(reactor)
     application = app.Application(reactor=reactor, chosen=chosen)
     try:
-        application.join_peers()
         application.listen()
     except error.CannotListenError as taken:
         sys.exit(f'guavaroad: no port: {taken}')
-    reactor.run()
+    stop_signals.follow(reactor, application.stop)
+    reactor.run(installSignalHandlers=False)
+    sys.exit(application.exit_code)
 
 
 def run() -> None:
