--- a/packages/guavaroad/src/guavaroad/domain/scheduling/queues.py
+++ b/packages/guavaroad/src/guavaroad/domain/scheduling/queues.py
@@ -3,7 +3,8 @@
 import collections
 import dataclasses
 
-from guavaroad.domain import jobs, names, submission
+from guavaroad.domain import jobs, names
+from guavaroad.domain.submissions import submission
 
 _CLASS_ORDER = (jobs.Urgency.URGENT, jobs.Urgency.NORMAL, jobs.Urgency.LOW)
 
@@ -56,7 +57,9 @@
         waiting = [
             queued
             for queued in self.jobs.values()
-            if queued.waiting and queued.job.request.pool == pool
+            if queued.waiting
+            and queued.job.request.pool == pool
+            and not queued.job.held
         ]
         if not waiting:
             return None
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/submissions/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol of submissions: records, claims, takeover; pure decisions."""
--- a/packages/guavaroad/src/guavaroad/domain/submission.py
+++ b/packages/guavaroad/src/guavaroad/domain/submissions/submission.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from guavaroad.domain import attempts, codes, jobs, names
+from guavaroad.domain.submissions import holds
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -25,16 +26,28 @@
 
     Attributes:
         request: The job as the client sent it.
+        hold: Whether its record lets this owner start it.
         slots: State of each task.
         ending: Code that the job will end with, once it can't complete.
     """
 
-    def __init__(self, *, request: jobs.JobRequest) -> None:
+    def __init__(
+        self,
+        *,
+        request: jobs.JobRequest,
+        hold: holds.Hold | None = None,
+    ) -> None:
         self.request = request
+        self.hold = hold or holds.Hold()
         self.slots = [TaskSlot() for _ in request.tasks]
         self.ending: codes.ResultCode | None = None
         self.ending_detail = ''
 
+    @property
+    def held(self) -> bool:
+        """Whether no task may start: the claim is not known written."""
+        return self.hold.held()
+
     def start(self, index: names.TaskIndex) -> bool:
         """Claim a task for its one attempt.
 
@@ -47,6 +60,8 @@
         slot = self.slots[index]
         if self.ending or slot.state is not jobs.TaskState.QUEUED:
             return False
+        if not self.hold.release():
+            return False
         slot.state = jobs.TaskState.STARTED
         return True
 
--- a/packages/guavaroad/src/guavaroad/services/dispatch.py
+++ b/packages/guavaroad/src/guavaroad/services/dispatch.py
@@ -3,8 +3,9 @@
 import dataclasses
 from collections.abc import Callable
 
-from guavaroad.domain import attempts, codes, jobs, names, submission
+from guavaroad.domain import attempts, codes, jobs, names
 from guavaroad.domain.scheduling import queues
+from guavaroad.domain.submissions import submission
 from guavaroad.ports import timers, upstreams
 
 Settled = Callable[[submission.Submission], None]
--- a/packages/guavaroad/src/guavaroad/services/submissions.py
+++ b/packages/guavaroad/src/guavaroad/services/submissions.py
@@ -8,8 +8,9 @@
 import xxhash
 from twisted.internet import defer
 
-from guavaroad.domain import codes, identity, jobs, names, submission
+from guavaroad.domain import codes, identity, jobs, names
 from guavaroad.domain.configuration import document
+from guavaroad.domain.submissions import submission
 from guavaroad.ports import timers
 from guavaroad.services import answers, dispatch, forwarding, outcomes
 
