Give the command line every command, and messages for every line

Now a submission takes an id first, notes it, sends it as Idempotency-Key and sends it again under that id while its time lasts; `--submission_id` resumes it. Reads go on to the next address after a broken line; a patch does not, since its outcome would be unknown. Added: submission show and cancel, config diff and wait, state of one or all, tables of instances and upstreams, `--output`, `--token_file`, `--ca_file`, exit codes by the first digit of the result code.

Ruled out: `task.react` and `absl.app`.

--- a/packages/guavaroad/src/guavaroad/adapters/http_client.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_client.py
@@ -88,6 +88,7 @@
         reactor: Any,
         connections_per_host: int,
         connect_timeout_s: float,
+        trust: Any = None,
     ) -> None:
         self.reactor = reactor
         self.pool = client.HTTPConnectionPool(reactor, persistent=True)
@@ -96,7 +97,10 @@
         # A resend by the library could start a task twice.
         self.pool.retryAutomatically = False
         self.agent = client.Agent(
-            reactor, connectTimeout=connect_timeout_s, pool=self.pool
+            reactor,
+            contextFactory=client.BrowserLikePolicyForHTTPS(trust),
+            connectTimeout=connect_timeout_s,
+            pool=self.pool,
         )
 
     async def exchange(self, call: Call) -> Exchange:
@@ -114,6 +118,9 @@
             return await pending
         except _NOT_SENT_ERRORS as unsent:
             return NotSent(detail=_describe(unsent))
+        except defer.TimeoutError:
+            wait_s = round(call.timeout_s, 1)
+            return NoReply(detail=f'no answer within {wait_s} s')
         except Exception as broken:  # noqa: BLE001
             return NoReply(detail=_describe(broken))
 
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/adapters/tls.py
@@ -0,0 +1,114 @@
+"""Certificates: the instance's own, and those it trusts."""
+
+import dataclasses
+import pathlib
+from typing import Any, Final
+
+from cryptography import x509
+from cryptography.hazmat.primitives import serialization
+from OpenSSL import SSL
+from twisted.internet import ssl
+
+_PEM_BEGIN: Final = b'-----BEGIN CERTIFICATE-----'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BadFile:
+    """A file can't be used for TLS.
+
+    Attributes:
+        path: The file.
+        reason: What is wrong with it, without its contents.
+    """
+
+    path: pathlib.Path
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """A checked certificate chain with its key.
+
+    Attributes:
+        certificate_file: PEM chain, the instance's own first.
+        key_file: PEM private key.
+    """
+
+    certificate_file: pathlib.Path
+    key_file: pathlib.Path
+
+    def context_factory(self) -> Any:
+        """Return what a listening port needs."""
+        return ssl.DefaultOpenSSLContextFactory(
+            str(self.key_file),
+            str(self.certificate_file),
+            sslmethod=SSL.TLS_SERVER_METHOD,
+        )
+
+
+def read_trust(path: pathlib.Path) -> Any:
+    """Read certificates to trust.
+
+    Args:
+        path: PEM file with one or more certificates.
+
+    Returns:
+        A trust root for `HttpClient`, or `BadFile`.
+    """
+    try:
+        text = path.read_bytes()
+    except OSError as unreadable:
+        return BadFile(path=path, reason=str(unreadable.strerror))
+    pems = [_PEM_BEGIN + part for part in text.split(_PEM_BEGIN)[1:]]
+    if not pems:
+        return BadFile(path=path, reason='holds no PEM certificate')
+    try:
+        trusted = [ssl.Certificate.loadPEM(pem) for pem in pems]
+    except (ValueError, SSL.Error):
+        return BadFile(path=path, reason='holds a broken PEM certificate')
+    return ssl.trustRootFromCertificates(trusted)
+
+
+def read_identity(
+    certificate_file: pathlib.Path, key_file: pathlib.Path
+) -> Identity | BadFile:
+    """Check a certificate chain and its key.
+
+    Args:
+        certificate_file: PEM chain, the instance's own first.
+        key_file: PEM private key without a password.
+
+    Returns:
+        The pair, or which file is wrong and why.
+    """
+    certificate = _certificate(certificate_file)
+    match certificate:
+        case BadFile():
+            return certificate
+    key = _key(key_file)
+    match key:
+        case BadFile():
+            return key
+    if certificate.public_key() != key.public_key():
+        return BadFile(
+            path=key_file, reason=f'is not the key of {certificate_file}'
+        )
+    return Identity(certificate_file=certificate_file, key_file=key_file)
+
+
+def _certificate(path: pathlib.Path) -> x509.Certificate | BadFile:
+    try:
+        return x509.load_pem_x509_certificate(path.read_bytes())
+    except OSError as unreadable:
+        return BadFile(path=path, reason=str(unreadable.strerror))
+    except ValueError:
+        return BadFile(path=path, reason='holds no PEM certificate')
+
+
+def _key(path: pathlib.Path) -> Any:
+    try:
+        return serialization.load_pem_private_key(path.read_bytes(), None)
+    except OSError as unreadable:
+        return BadFile(path=path, reason=str(unreadable.strerror))
+    except (ValueError, TypeError):
+        return BadFile(path=path, reason='holds no PEM key without a password')
--- a/packages/guavaroadctl/src/guavaroadctl/commands.py
+++ b/packages/guavaroadctl/src/guavaroadctl/commands.py
@@ -1,67 +1,96 @@
 """The commands of `guavaroadctl`."""
 
-import pathlib
-import sys
-from typing import Any
+from typing import Final
 
-import msgspec
+from guavaroadctl import (
+    config,
+    instances,
+    lookup,
+    reports,
+    session,
+    submit,
+    upstreams,
+    waiting,
+)
 
-from guavaroad.adapters import http_client
-from guavaroadctl import connection
+USAGE: Final = """\
+guavaroadctl: the command line of guavaroad.
 
+usage: guavaroadctl [flags] command
 
-class UsageError(Exception):
-    """The words of the command line do not make a command."""
+  submit JOB FILE           submit the tasks of FILE and wait for the answer
+  submission show ID        show a submission, and its answer if it ended
+  submission cancel ID      drop the tasks of a submission not yet started
+  config show               show the live configuration and its version
+  config patch BASE FILE    apply a merge patch to version BASE
+  config diff FILE          show what a merge patch would change
+  config wait VERSION       wait until every instance serves VERSION
+  state [all | ADDRESS]     dump the state of an instance, or of all
+  instances                 list the instances
+  upstreams                 list the upstreams
 
+FILE may be - for standard input.  Tasks are a JSON array of payloads, or
+one JSON value a line; a patch is a JSON object as in RFC 7396.
 
-def read_source(source: str) -> bytes:
-    """Read a file, or standard input for `-`."""
-    if source == '-':
-        return sys.stdin.buffer.read()
-    return pathlib.Path(source).read_bytes()
+flags:
+"""
 
 
-async def dispatch(
-    link: connection.Connection, words: list[str]
-) -> http_client.Exchange:
+async def dispatch(means: session.Session, words: list[str]) -> reports.Result:
     """Run one command.
 
     Args:
-        link: Connection to the instances.
-        words: Words after the flags.
+        means: What commands work with.
+        words: Words of the command line.
 
     Returns:
-        The exchange that answers the command.
-
-    Raises:
-        UsageError: If the words are no command.
+        What the command found, or why it found nothing.
     """
     match words:
-        case ['submit', job, source]:
-            return await submit(link, job, source)
-        case ['config', 'show']:
-            return await link.ask('GET', '/v1/config')
-        case ['config', 'patch', base, source]:
-            return await link.ask(
-                'PATCH',
-                '/v1/config',
-                body=read_source(source),
-                headers={'If-Match': base},
-            )
+        case ['submit', job, path]:
+            return await submit.run(means, job, path)
+        case ['submission', 'show', submission_id]:
+            return await lookup.show(means, submission_id)
+        case ['submission', 'cancel', submission_id]:
+            return await lookup.cancel(means, submission_id)
+        case ['config', *rest]:
+            return await configure(means, rest)
+    return await inspect(means, words)
+
+
+async def configure(means: session.Session, words: list[str]) -> reports.Result:
+    """Run one command on the configuration."""
+    match words:
+        case ['show']:
+            return await config.show(means)
+        case ['patch', base, path]:
+            return await config.patch(means, base, path)
+        case ['diff', path]:
+            return await config.diff(means, path)
+        case ['wait', version]:
+            return await waiting.wait(means, version)
+    return unknown(['config', *words])
+
+
+async def inspect(means: session.Session, words: list[str]) -> reports.Result:
+    """Run one command that only looks."""
+    match words:
         case ['state']:
-            return await link.ask('GET', '/v1/state')
+            return await instances.state(means)
+        case ['state', 'all']:
+            return await instances.state_of_all(means)
+        case ['state', address]:
+            return await instances.state_of(means, address)
+        case ['instances']:
+            return await instances.listing(means)
+        case ['upstreams']:
+            return await upstreams.listing(means)
+    return unknown(words)
+
+
+def unknown(words: list[str]) -> reports.Problem:
+    """Return that the words are no command."""
+    if not words:
+        return reports.usage('no command given; see --help')
     given = ' '.join(words)
-    raise UsageError(f'no such command: {given}')
-
-
-async def submit(
-    link: connection.Connection, job: str, source: str
-) -> http_client.Exchange:
-    """Submit the tasks of a file: a JSON array of payloads."""
-    payloads: list[Any] = msgspec.json.decode(read_source(source))
-    body = {'tasks': [{'payload': payload} for payload in payloads]}
-    return await link.ask(
-        'POST',
-        f'/v1/jobs/{job}/submissions',
-        body=msgspec.json.encode(body),
-    )
+    return reports.usage(f'no such command: {given}; see --help')
--- a/packages/guavaroadctl/src/guavaroadctl/main.py
+++ b/packages/guavaroadctl/src/guavaroadctl/main.py
@@ -1,80 +1,153 @@
 """The `guavaroadctl` binary."""
 
+import asyncio
+import os
 import sys
-from collections.abc import Sequence
-from typing import Any, Final
+from typing import Any
 
 import msgspec
-from absl import app, flags
-from twisted.internet import defer, task
-
-from guavaroad.adapters import http_client
-from guavaroadctl import commands, connection
+from twisted.internet import asyncioreactor, defer
+from twisted.internet import main as reactor_main
+
+from guavaroad.adapters import command_flags, reactor_timers
+from guavaroadctl import (
+    __version__,
+    commands,
+    connection,
+    exit_codes,
+    options,
+    reports,
+    session,
+)
 
-EXIT_FAILED: Final = 1
-EXIT_USAGE: Final = 2
-EXIT_UNREACHED: Final = 4
-_DEFAULT_TIMEOUT_S: Final = 120.0
-_FIRST_ERROR_STATUS: Final = 400
 
-_ADDRESSES = flags.DEFINE_list(
-    'address', ['127.0.0.1:8080'], 'Instances to try, in order.'
-)
-_TOKEN = flags.DEFINE_string('token', '', 'Bearer token.')
-_TIMEOUT = flags.DEFINE_float(
-    'timeout_s', _DEFAULT_TIMEOUT_S, 'Longest wait for an answer.'
-)
+class Runner:
+    """Runs one command under the reactor.
 
+    Attributes:
+        result: What the command gave; none if a signal ended it.
+    """
 
-def main(argv: Sequence[str]) -> None:
-    """Run one command and exit with its code."""
-    task.react(run_command, [list(argv[1:])])
+    def __init__(self, *, chosen: options.Options, words: list[str]) -> None:
+        self.options = chosen
+        self.words = words
+        self.result: reports.Result | None = None
+
+    def run(self) -> reports.Result:
+        """Return the result of the command, or that it was interrupted."""
+        reactor: Any = asyncioreactor.AsyncioSelectorReactor(
+            asyncio.new_event_loop()
+        )
+        reactor_main.installReactor(reactor)
+        reactor.callWhenRunning(self.start, reactor)
+        reactor.run()
+        return self.result or reports.Problem(
+            exit_code=exit_codes.ExitCode.INTERRUPTED, message='interrupted'
+        )
+
+    def start(self, reactor: Any) -> None:
+        """Begin the command; its end ends the reactor."""
+        pending = defer.ensureDeferred(self.execute(reactor))
+        pending.addErrback(broken)
+        pending.addCallback(self.finish, reactor)
+
+    async def execute(self, reactor: Any) -> reports.Result:
+        """Run the command."""
+        chosen = self.options
+        link = connection.Connection(
+            reactor=reactor,
+            targets=chosen.endpoints,
+            token=chosen.token,
+            timeout_s=chosen.request_timeout_s,
+            trust=chosen.trust,
+        )
+        means = session.Session(
+            link=link,
+            timers=reactor_timers.ReactorTimers(clock=reactor),
+            options=chosen,
+        )
+        return await commands.dispatch(means, self.words)
+
+    def finish(self, result: reports.Result, reactor: Any) -> None:
+        """Keep the result and end the reactor."""
+        if reactor.running and self.result is None:
+            self.result = result
+            reactor.stop()
+
+
+def broken(failure: Any) -> reports.Problem:
+    """Return an error that no command foresaw."""
+    kind = failure.type.__name__
+    return reports.Problem(
+        exit_code=exit_codes.ExitCode.INTERNAL,
+        message=f'internal error: {kind}: {failure.getErrorMessage()}',
+    )
 
 
-def run_command(reactor: Any, words: list[str]) -> 'defer.Deferred[None]':
-    """Run a command under the reactor."""
-    return defer.ensureDeferred(execute(reactor, words))
+def show(result: reports.Result, output: options.Output) -> int:
+    """Print a result.
 
+    Args:
+        result: What a command gave.
+        output: Form to print.
 
-async def execute(reactor: Any, words: list[str]) -> None:
-    """Run a command, print its answer and exit."""
-    target = connection.Target(
-        addresses=tuple(_ADDRESSES.value),
-        token=_TOKEN.value,
-        timeout_s=_TIMEOUT.value,
-    )
-    link = connection.Connection(reactor=reactor, target=target)
+    Returns:
+        The exit code.
+    """
+    match result:
+        case reports.Problem():
+            session.note(result.message)
+        case reports.Report() if output is options.Output.JSON:
+            text = msgspec.json.encode(result.document)
+            write(msgspec.json.format(text, indent=2).decode())
+        case reports.Report():
+            write('\n'.join(result.lines))
+    return result.exit_code.value
+
+
+def write(text: str) -> None:
+    """Write to standard output, whose reader may have gone."""
     try:
-        exchange = await commands.dispatch(link, words)
-    except commands.UsageError as broken:
-        sys.stderr.write(f'guavaroadctl: {broken}\n')
-        sys.exit(EXIT_USAGE)
-    sys.exit(show(exchange))
+        sys.stdout.write(f'{text}\n')
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # Keeps the interpreter from flushing again as it ends.
+        nowhere = os.open(os.devnull, os.O_WRONLY)
+        os.dup2(nowhere, sys.stdout.fileno())
 
 
-def show(exchange: http_client.Exchange) -> int:
-    """Print an exchange.
+def main(argv: list[str]) -> int:
+    """Run one command.
 
     Args:
-        exchange: What came of the command.
+        argv: Program name, words and flags.
 
     Returns:
         The exit code.
     """
-    match exchange:
-        case http_client.Reply():
-            text = msgspec.json.format(exchange.body, indent=2)
-            sys.stdout.write(text.decode())
-            sys.stdout.write('\n')
-            failed = exchange.status >= _FIRST_ERROR_STATUS
-            return EXIT_FAILED if failed else 0
-    sys.stderr.write(f'guavaroadctl: no answer: {exchange.detail}\n')
-    return EXIT_UNREACHED
+    words = command_flags.read(
+        argv,
+        program='guavaroadctl',
+        usage=commands.USAGE,
+        module=options.__name__,
+    )
+    if options.wants_version():
+        write(f'guavaroadctl {__version__}')
+        return 0
+    chosen = options.gather()
+    match chosen:
+        case reports.Problem():
+            return show(chosen, options.Output.TEXT)
+    return show(Runner(chosen=chosen, words=words).run(), chosen.output)
 
 
 def run() -> None:
     """Entry point of the console script."""
-    app.run(main)
+    try:
+        sys.exit(main(sys.argv))
+    except KeyboardInterrupt:
+        session.note('interrupted')
+        sys.exit(exit_codes.ExitCode.INTERRUPTED.value)
 
 
 if __name__ == '__main__':
