Serve the client port over TLS when the settings have certificates

Cause: tokens crossed the operators' home lines in the clear.

A `tls` section names the chain, the key and what to trust; the files are read and matched before a port is opened, and a wrong one is named with its reason. Instances forward to each other over https then.

Ruled out: `DefaultOpenSSLContextFactory`, which sends the first certificate alone and so breaks chains; TLS on the peer port, which NNG carries with another library and is left for later.

Seen to fail first: an untrusted certificate ended as "sent, but no answer" (exit 4). The certificate is checked before the first byte of a request is sent, so it is now "not reached" (exit 6), and for a forwarded submission "not handed over".

--- a/packages/guavaroad/src/guavaroad/adapters/http_client.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_client.py
@@ -4,6 +4,7 @@
 import io
 from typing import Any, Final
 
+from OpenSSL import SSL
 from twisted.internet import defer, error
 from twisted.python import failure
 from twisted.web import _newclient as web_client
@@ -53,6 +54,7 @@
 
 Exchange = Reply | NotSent | NoReply
 
+_UNTRUSTED: Final = 'certificate verify failed'
 _NOT_SENT_ERRORS: Final = (
     error.ConnectError,
     error.UnsupportedAddressFamily,
@@ -80,7 +82,11 @@
 
 
 class HttpClient:
-    """Pooled persistent connections with one request in flight on each."""
+    """Pooled persistent connections with one request in flight on each.
+
+    Attributes:
+        instance_scheme: Scheme by which other instances are reached.
+    """
 
     def __init__(
         self,
@@ -89,8 +95,10 @@
         connections_per_host: int,
         connect_timeout_s: float,
         trust: Any = None,
+        instance_scheme: str = 'http',
     ) -> None:
         self.reactor = reactor
+        self.instance_scheme = instance_scheme
         self.pool = client.HTTPConnectionPool(reactor, persistent=True)
         self.pool.maxPersistentPerHost = connections_per_host
         self.pool.cachedConnectionTimeout = _IDLE_CONNECTION_S
@@ -122,7 +130,7 @@
             wait_s = round(call.timeout_s, 1)
             return NoReply(detail=f'no answer within {wait_s} s')
         except Exception as broken:  # noqa: BLE001
-            return NoReply(detail=_describe(broken))
+            return _classify(broken)
 
     async def send(self, call: Call) -> Reply:
         """Send a request; raises what the agent raises."""
@@ -161,10 +169,23 @@
     }
 
 
-def _describe(broken: Any) -> str:
+def _classify(broken: Any) -> NotSent | NoReply:
+    detail = _describe(broken)
+    # A certificate is checked before the first byte of the request is sent.
+    if isinstance(_root(broken), SSL.Error) and _UNTRUSTED in detail:
+        return NotSent(detail=detail)
+    return NoReply(detail=detail)
+
+
+def _root(broken: Any) -> Any:
     reasons = getattr(broken, 'reasons', None)
     if reasons and isinstance(reasons[0], failure.Failure):
-        return _describe(reasons[0].value)
+        return _root(reasons[0].value)
+    return broken
+
+
+def _describe(failed: Any) -> str:
+    broken = _root(failed)
     if isinstance(broken, web_error.Error):
         return f'HTTP error {broken.status!r}'
     return f'{type(broken).__name__}: {broken}'.strip(': ')
--- a/packages/guavaroad/src/guavaroad/adapters/tls.py
+++ b/packages/guavaroad/src/guavaroad/adapters/tls.py
@@ -1,12 +1,13 @@
 """Certificates: the instance's own, and those it trusts."""
 
 import dataclasses
+import datetime
 import pathlib
 from typing import Any, Final
 
 from cryptography import x509
 from cryptography.hazmat.primitives import serialization
-from OpenSSL import SSL
+from OpenSSL import SSL, crypto
 from twisted.internet import ssl
 
 _PEM_BEGIN: Final = b'-----BEGIN CERTIFICATE-----'
@@ -30,19 +31,20 @@
     """A checked certificate chain with its key.
 
     Attributes:
-        certificate_file: PEM chain, the instance's own first.
-        key_file: PEM private key.
+        chain: Certificates, the instance's own first.
+        key: Private key of the first.
     """
 
-    certificate_file: pathlib.Path
-    key_file: pathlib.Path
+    chain: tuple[x509.Certificate, ...]
+    key: Any
 
     def context_factory(self) -> Any:
         """Return what a listening port needs."""
-        return ssl.DefaultOpenSSLContextFactory(
-            str(self.key_file),
-            str(self.certificate_file),
-            sslmethod=SSL.TLS_SERVER_METHOD,
+        own, *others = map(crypto.X509.from_cryptography, self.chain)
+        return ssl.CertificateOptions(
+            privateKey=crypto.PKey.from_cryptography_key(self.key),
+            certificate=own,
+            extraCertChain=others,
         )
 
 
@@ -81,24 +83,30 @@
     Returns:
         The pair, or which file is wrong and why.
     """
-    certificate = _certificate(certificate_file)
-    match certificate:
+    chain = _chain(certificate_file)
+    match chain:
         case BadFile():
-            return certificate
+            return chain
     key = _key(key_file)
     match key:
         case BadFile():
             return key
-    if certificate.public_key() != key.public_key():
+    own = chain[0]
+    if own.public_key() != key.public_key():
         return BadFile(
             path=key_file, reason=f'is not the key of {certificate_file}'
         )
-    return Identity(certificate_file=certificate_file, key_file=key_file)
+    if own.not_valid_after_utc < datetime.datetime.now(datetime.UTC):
+        return BadFile(
+            path=certificate_file,
+            reason=f'expired at {own.not_valid_after_utc}',
+        )
+    return Identity(chain=chain, key=key)
 
 
-def _certificate(path: pathlib.Path) -> x509.Certificate | BadFile:
+def _chain(path: pathlib.Path) -> tuple[x509.Certificate, ...] | BadFile:
     try:
-        return x509.load_pem_x509_certificate(path.read_bytes())
+        return tuple(x509.load_pem_x509_certificates(path.read_bytes()))
     except OSError as unreadable:
         return BadFile(path=path, reason=str(unreadable.strerror))
     except ValueError:
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from guavaroad import composition, settings
-from guavaroad.adapters import http_api, http_api_tokens, logs
+from guavaroad.adapters import client_port, http_api, http_api_tokens, logs
 from guavaroad.ports import platform
 from guavaroad.services import dispatch
 
@@ -54,11 +54,10 @@
         )
         site = composition.client_site(self.base, api)
         address = self.base.incarnation.address
-        host, _, port = address.rpartition(':')
         self.configuration.refresh()
         self.directory.refresh()
         _LOG.info('listening on {}', address)
-        return self.base.reactor.listenTCP(int(port), site, interface=host)
+        return client_port.listen(self.base.reactor, self.base.settings, site)
 
     def join_peers(self) -> None:
         """Begin to take messages of peers."""
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -59,6 +59,8 @@
             reactor=reactor,
             connections_per_host=connection_share(chosen.limits),
             connect_timeout_s=_CONNECT_TIMEOUT_S,
+            trust=chosen.tls.trust() if chosen.tls else None,
+            instance_scheme='https' if chosen.tls else 'http',
         ),
     )
 
--- a/packages/guavaroad/src/guavaroad/services/forwarding.py
+++ b/packages/guavaroad/src/guavaroad/services/forwarding.py
@@ -43,10 +43,11 @@
     ) -> answers.Answer:
         """Forward and read the exchange."""
         job = urls.quote(request.job, safe='')
+        scheme = self.client.instance_scheme
         exchange = await self.client.exchange(
             http_client.Call(
                 method='POST',
-                url=f'http://{owner.address}/v1/jobs/{job}/submissions',
+                url=f'{scheme}://{owner.address}/v1/jobs/{job}/submissions',
                 headers={
                     FORWARDED_HEADER: 'yes',
                     'Authorization': request.authorization,
--- a/packages/guavaroad/src/guavaroad/settings.py
+++ b/packages/guavaroad/src/guavaroad/settings.py
@@ -10,7 +10,7 @@
 import pydantic
 
 from guavaroad import settings_problems
-from guavaroad.adapters import strict_yaml
+from guavaroad.adapters import strict_yaml, tls
 from guavaroad.domain.configuration import document
 
 Port = Annotated[int, pydantic.Field(ge=1, le=65_535)]
@@ -165,6 +165,42 @@
     json_lines: bool = False
 
 
+class Tls(Section):
+    """Certificates of this instance and those it trusts.
+
+    Attributes:
+        certificate_file: PEM chain of the client port, its own first.
+        key_file: PEM key of that certificate, without a password.
+        ca_file: PEM certificates that other instances, the platform and
+            the upstreams are checked against, if not the system's.
+    """
+
+    certificate_file: str
+    key_file: str
+    ca_file: str | None = None
+
+    @pydantic.model_validator(mode='after')
+    def check_files(self) -> 'Tls':
+        """Check that the files hold what they should."""
+        for found in (self.identity(), self.trust()):
+            match found:
+                case tls.BadFile():
+                    raise ValueError(f'{found.path} {found.reason}')
+        return self
+
+    def identity(self) -> tls.Identity | tls.BadFile:
+        """Read the certificate and the key."""
+        return tls.read_identity(
+            pathlib.Path(self.certificate_file), pathlib.Path(self.key_file)
+        )
+
+    def trust(self) -> Any:
+        """Read what to trust; none stands for the system's."""
+        if self.ca_file is None:
+            return None
+        return tls.read_trust(pathlib.Path(self.ca_file))
+
+
 class Settings(Section):
     """All settings of one instance.
 
@@ -175,6 +211,7 @@
         tokens: Bearer tokens.
         limits: Bounds.
         logs: Where logs go.
+        tls: Certificates; without them the client port speaks plain HTTP.
         drain_s: Longest planned stop.
     """
 
@@ -187,6 +224,7 @@
     ]
     limits: Limits = Limits()
     logs: Logs = Logs()
+    tls: Tls | None = None
     drain_s: Seconds = 30
 
     @pydantic.model_validator(mode='after')
