--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -6,6 +6,7 @@
 
 from guavaroad import composition, settings
 from guavaroad.adapters import (
+    client_port,
     http_api,
     http_api_site,
     http_api_tokens,
@@ -75,9 +76,8 @@
 
     def open_client_port(self) -> None:
         """Open the port for clients, operators and forwarding peers."""
-        host, _, number = self.base.incarnation.address.rpartition(':')
-        port = self.base.reactor.listenTCP(
-            int(number), self.site, interface=host
+        port = client_port.listen(
+            self.base.reactor, self.base.settings, self.site
         )
         self.drain.hooks.on_closing.append(port.stopListening)
 
