Judge who lives by heartbeats in a zone and reports between zones

The other parts need a view of live instances that lags by seconds at most and throws nobody out for a short pause.

Inside a zone everybody sends everybody a heartbeat a second. Between two zones two instances, chosen by rendezvous hashing, report their zone's instances to two of the other, which pass the report's hash on to their zone; the cards follow only when a hash is new. A mesh over all zones was ruled out: its messages grow with the square of all instances. A newer process at an address ends the older one. A process that stood still excuses its own gap before it judges.

--- a/packages/guavaroad/src/guavaroad/adapters/nng_peers.py
+++ b/packages/guavaroad/src/guavaroad/adapters/nng_peers.py
@@ -65,6 +65,15 @@
         default_factory=collections.Counter
     )
 
+    def as_dict(self) -> dict[str, Any]:
+        """Return the counts for the state dump."""
+        # dataclasses.asdict would count the pairs of the inner counter.
+        counts = {
+            field.name: getattr(self, field.name)
+            for field in dataclasses.fields(self)
+        }
+        return counts | {'rejected': dict(self.rejected)}
+
 
 def limit_threads() -> None:
     """Bound NNG's threads; only the call before the first socket counts."""
@@ -267,7 +276,7 @@
                 }
                 for link in self.links.values()
             },
-            'counters': dataclasses.asdict(self.counters),
+            'counters': self.counters.as_dict(),
         }
 
 
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -25,6 +25,7 @@
     directory,
     dispatch,
     forwarding,
+    membership,
     outcomes,
     submissions,
 )
@@ -68,6 +69,13 @@
                 peer_address=names.PeerAddress(chosen.instance.peer_address),
             ),
         )
+        self.membership = membership.MembershipService(
+            own=self.incarnation,
+            peer_address=names.PeerAddress(chosen.instance.peer_address),
+            bus=self.bus,
+            timer_service=self.timers,
+            seeds=tuple(map(names.PeerAddress, chosen.peers)),
+        )
         self.configuration = configuration.ConfigurationService(
             table=http_platform.HttpTable(link=self.platform),
             timer_service=self.timers,
@@ -87,7 +95,9 @@
             max_queued_tasks=chosen.limits.queued_tasks,
         )
         self.submissions = self.submission_service()
+        self.membership.shown.load = self.queued_tasks
         self.directory.on_change.append(self.upstreams_changed)
+        self.directory.on_change.append(self.membership.list_changed)
 
     def submission_service(self) -> submissions.SubmissionService:
         """Return the owner of this incarnation's submissions."""
@@ -111,6 +121,10 @@
             dispatch.static_uses(listed.upstreams, len(listed.entries))
         )
 
+    def queued_tasks(self) -> int:
+        """Return the tasks that wait here."""
+        return self.dispatcher.queue.task_count
+
     def listen(self) -> Any:
         """Open the client port and begin to follow the platform."""
         api = http_api.ApiResource(
@@ -125,6 +139,7 @@
         site.displayTracebacks = False
         host, _, port = self.incarnation.address.rpartition(':')
         self.bus.start()
+        self.membership.start()
         self.configuration.refresh()
         self.directory.refresh()
         loguru.logger.info('{} listening on {}', _LOG_PREFIX, host)
@@ -138,6 +153,7 @@
             'address': self.incarnation.address,
             'epoch': self.incarnation.epoch,
             'config_version': known.version if known else None,
+            'membership': self.membership.describe(),
             'bus': self.bus.describe(),
             'queued_tasks': self.dispatcher.queue.task_count,
             'upstreams': [
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry instances live, judged from heartbeats and zone reports."""
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/membership/view.py
@@ -0,0 +1,167 @@
+"""The view of one instance: its zone mates and the other zones."""
+
+import dataclasses
+
+from guavaroad.domain import identity, names
+from guavaroad.domain.membership import (
+    links,
+    mates,
+    messages,
+    standing,
+    timing,
+    zones,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Own:
+    """This instance.
+
+    Attributes:
+        incarnation: This process.
+        peer_address: Where it takes messages.
+        started_ms: Wall-clock time of its start, milliseconds.
+    """
+
+    incarnation: identity.Incarnation
+    peer_address: names.PeerAddress
+    started_ms: int
+
+
+class View:
+    """What this instance believes of every other one."""
+
+    def __init__(self, *, own: Own) -> None:
+        self.own = own
+        self.zone = own.incarnation.availability_zone
+        self.mates = mates.Mates()
+        self.zones: dict[names.AvailabilityZone, zones.Zone] = {}
+        self.leaving = False
+        self.last_tick_s: float | None = None
+        self.had_mate = False
+
+    def zone_named(self, name: names.AvailabilityZone) -> zones.Zone:
+        """Return another zone, new if it is unknown."""
+        known = self.zones.get(name)
+        if known is None:
+            known = zones.Zone(name=name)
+            self.zones[name] = known
+        return known
+
+    def members(self, now_s: float) -> dict[names.Epoch, zones.RemoteMember]:
+        """Return every other instance with its state."""
+        found = {
+            epoch: zones.RemoteMember(
+                incarnation=mate.incarnation,
+                peer_address=mate.peer_address,
+                state=standing.Standing.DEAD,
+            )
+            for epoch, mate in self.mates.superseded.items()
+        }
+        for zone in self.zones.values():
+            found.update(zone.members(now_s))
+        for epoch, mate in self.mates.by_epoch.items():
+            found[epoch] = zones.RemoteMember(
+                incarnation=mate.incarnation,
+                peer_address=mate.peer_address,
+                state=mate.judge(now_s),
+            )
+        return found
+
+    def cards(self, now_s: float) -> tuple[messages.Card, ...]:
+        """Return the live instances of this zone, this one too."""
+        live = [
+            card_of(mate)
+            for mate in self.mates.by_epoch.values()
+            if mate.judge(now_s) is not standing.Standing.DEAD
+        ]
+        return tuple(sorted([self.own_card(), *live]))
+
+    def own_card(self) -> messages.Card:
+        """Return the card of this instance."""
+        return messages.Card(
+            address=self.own.incarnation.address,
+            epoch=self.own.incarnation.epoch,
+            peer_address=self.own.peer_address,
+            leaving=self.leaving,
+        )
+
+    def report(self, now_s: float) -> messages.ZoneReport:
+        """Return the report of this instance on its zone."""
+        cards = self.cards(now_s)
+        return messages.ZoneReport(
+            zone=self.zone,
+            reporter=self.own.incarnation.epoch,
+            revision=links.revision_of(cards),
+            cards=cards,
+        )
+
+    def foreign_reports(self, now_s: float) -> list[messages.ZoneReport]:
+        """Return the freshest report of each live zone, for a newcomer."""
+        found = [zone.freshest(now_s) for zone in self.zones.values()]
+        return [report for report in found if report is not None]
+
+    def link_targets(self, now_s: float) -> list[names.PeerAddress]:
+        """Return whom in other zones this instance reports to."""
+        cards = self.cards(now_s)
+        own = self.own.incarnation.epoch
+        targets = [
+            links.link_target(
+                own, (self.zone, name), cards, zone.live_cards(now_s)
+            )
+            for name, zone in self.zones.items()
+        ]
+        return [card.peer_address for card in targets if card is not None]
+
+    def live_addresses(self, now_s: float) -> set[names.PeerAddress]:
+        """Return the peer addresses that need no greeting."""
+        return {
+            member.peer_address
+            for member in self.members(now_s).values()
+            if member.state is not standing.Standing.DEAD
+        }
+
+    def live_mates(self, now_s: float) -> list[mates.Mate]:
+        """Return the instances of this zone that are not dead."""
+        return [
+            mate
+            for mate in self.mates.by_epoch.values()
+            if mate.judge(now_s) is not standing.Standing.DEAD
+        ]
+
+    def alone(self, now_s: float) -> bool:
+        """Return whether the zone had another instance and none is heard."""
+        if self.live_mates(now_s):
+            self.had_mate = True
+            return False
+        return self.had_mate
+
+    def excuse_own_gap(self, now_s: float) -> float:
+        """Notice that this process stood still, and judge nobody by it.
+
+        Args:
+            now_s: Present time, seconds.
+
+        Returns:
+            Seconds that it stood still; 0 if it did not.
+        """
+        before_s = now_s if self.last_tick_s is None else self.last_tick_s
+        self.last_tick_s = now_s
+        gap_s = now_s - before_s
+        if gap_s < timing.OWN_GAP_S:
+            return 0
+        self.mates.excuse(gap_s)
+        for zone in self.zones.values():
+            zone.excuse(gap_s)
+        return gap_s
+
+
+def card_of(mate: mates.Mate) -> messages.Card:
+    """Return the card of a zone mate."""
+    heartbeat = mate.heartbeat
+    return messages.Card(
+        address=mate.incarnation.address,
+        epoch=mate.incarnation.epoch,
+        peer_address=mate.peer_address,
+        leaving=heartbeat is not None and heartbeat.leaving,
+    )
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/membership/zones.py
@@ -0,0 +1,162 @@
+"""The other zones, known from the reports of their own instances."""
+
+import dataclasses
+from typing import Final
+
+from guavaroad.domain import identity, names
+from guavaroad.domain.membership import messages, standing, timing
+
+_MAX_REVISIONS: Final = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RemoteMember:
+    """An instance of another zone.
+
+    Attributes:
+        incarnation: The process.
+        peer_address: Where it takes messages.
+        state: What is believed of it.
+    """
+
+    incarnation: identity.Incarnation
+    peer_address: names.PeerAddress
+    state: standing.Standing
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Reporter:
+    """The last report of one instance on its own zone.
+
+    Attributes:
+        revision: Hash of the cards it named.
+        heard_s: When the report came, seconds.
+    """
+
+    revision: int
+    heard_s: float
+
+    def judge(self, now_s: float) -> standing.Standing:
+        """Judge the whole report by its age."""
+        silence_s = now_s - self.heard_s
+        if silence_s >= timing.DEAD_S:
+            return standing.Standing.DEAD
+        if silence_s >= timing.SUSPECT_S:
+            return standing.Standing.SUSPECT
+        return standing.Standing.ALIVE
+
+
+class Zone:
+    """One other zone."""
+
+    def __init__(self, *, name: names.AvailabilityZone) -> None:
+        self.name = name
+        self.reporters: dict[names.Epoch, Reporter] = {}
+        self.revisions: dict[int, tuple[messages.Card, ...]] = {}
+        self.last_seen: dict[names.Epoch, messages.Card] = {}
+
+    def take(self, report: messages.ZoneReport, now_s: float) -> bool:
+        """Take a report.
+
+        Args:
+            report: What one instance says of its zone.
+            now_s: Present time, seconds.
+
+        Returns:
+            Whether the cards of its revision are known.
+        """
+        if report.cards:
+            self.learn(report.revision, report.cards)
+        self.reporters[report.reporter] = Reporter(
+            revision=report.revision, heard_s=now_s
+        )
+        return report.revision in self.revisions
+
+    def learn(self, revision: int, cards: tuple[messages.Card, ...]) -> None:
+        """Keep the cards of a revision."""
+        self.revisions.pop(revision, None)
+        self.revisions[revision] = cards
+        for card in cards:
+            self.last_seen[card.epoch] = card
+        while len(self.revisions) > _MAX_REVISIONS:
+            self.revisions.pop(next(iter(self.revisions)))
+
+    def members(self, now_s: float) -> dict[names.Epoch, RemoteMember]:
+        """Return every instance of the zone with its state.
+
+        An instance lives as long as one fresh report names it.
+        """
+        found = {
+            epoch: self.member(card, standing.Standing.DEAD)
+            for epoch, card in self.last_seen.items()
+        }
+        for reporter in self.freshest_last():
+            state = reporter.judge(now_s)
+            if state is standing.Standing.DEAD:
+                continue
+            for card in self.revisions.get(reporter.revision, ()):
+                found[card.epoch] = self.member(card, state)
+        return found
+
+    def freshest_last(self) -> list[Reporter]:
+        """Return the reporters, the latest heard at the end."""
+        return sorted(self.reporters.values(), key=lambda one: one.heard_s)
+
+    def freshest(self, now_s: float) -> messages.ZoneReport | None:
+        """Return the latest live report that names the most instances."""
+        found = [
+            messages.ZoneReport(
+                zone=self.name,
+                reporter=epoch,
+                revision=reporter.revision,
+                cards=self.revisions.get(reporter.revision, ()),
+            )
+            for epoch, reporter in self.reporters.items()
+            if reporter.judge(now_s) is standing.Standing.ALIVE
+        ]
+        return max(found, key=lambda one: len(one.cards), default=None)
+
+    def member(
+        self, card: messages.Card, state: standing.Standing
+    ) -> RemoteMember:
+        """Return an instance of this zone."""
+        if card.leaving and state is not standing.Standing.DEAD:
+            state = standing.Standing.LEAVING
+        return RemoteMember(
+            incarnation=card.incarnation(self.name),
+            peer_address=card.peer_address,
+            state=state,
+        )
+
+    def live_cards(self, now_s: float) -> tuple[messages.Card, ...]:
+        """Return the instances that may be linked to."""
+        members = self.members(now_s)
+        return tuple(
+            card
+            for epoch, card in self.last_seen.items()
+            if members[epoch].state is standing.Standing.ALIVE
+        )
+
+    def excuse(self, gap_s: float) -> None:
+        """Forgive the zone a gap in which this process stood still."""
+        for reporter in self.reporters.values():
+            reporter.heard_s += gap_s
+
+    def forget(self, now_s: float) -> list[messages.Card]:
+        """Drop old reporters; drop and return instances long unnamed."""
+        self.reporters = {
+            epoch: reporter
+            for epoch, reporter in self.reporters.items()
+            if now_s - reporter.heard_s <= timing.FORGET_S
+        }
+        named = {
+            card.epoch
+            for reporter in self.reporters.values()
+            for card in self.revisions.get(reporter.revision, ())
+        }
+        gone = [
+            card for epoch, card in self.last_seen.items() if epoch not in named
+        ]
+        for card in gone:
+            self.last_seen.pop(card.epoch)
+        return gone
