--- a/packages/guavaroad/src/guavaroad/adapters/nng_peers.py
+++ b/packages/guavaroad/src/guavaroad/adapters/nng_peers.py
@@ -29,7 +29,8 @@
 _RECONNECT_MIN_MS: Final = 100
 _RECONNECT_MAX_MS: Final = 1000
 _FRAMES_PER_WAKE: Final = 32
-_LOG_PREFIX: Final = 'bus:'
+_LOG_PREFIX: Final = 'bus'
+_LOG: Final = loguru.logger.bind(part=_LOG_PREFIX)
 # Numbers of NNG's start-up parameters, which pynng does not name, and the
 # operating-system threads that each kind gets.
 _NNG_THREADS: Final = types.MappingProxyType({1: 2, 2: 1, 3: 1, 4: 1})
@@ -260,11 +261,7 @@
             try:
                 self.handlers[type(message)](peer, message)
             except Exception:  # noqa: BLE001 - one bad message, not the bus
-                loguru.logger.exception(
-                    '{} handler of {} failed',
-                    _LOG_PREFIX,
-                    type(message).__name__,
-                )
+                _LOG.exception('handler of {} failed', type(message).__name__)
 
     def describe(self) -> dict[str, Any]:
         """Return the bus's part of the state dump."""
--- a/packages/guavaroad/src/guavaroad/services/membership.py
+++ b/packages/guavaroad/src/guavaroad/services/membership.py
@@ -17,7 +17,7 @@
 from guavaroad.ports import peers, platform, timers
 from guavaroad.services import membership_inbox
 
-_LOG_PREFIX: Final = 'membership:'
+_LOG: Final = loguru.logger.bind(part='membership')
 _MS: Final = 1000
 # Between two looks at the view for changes, below the heartbeat period.
 _LOOK_S: Final = 0.2
@@ -88,9 +88,7 @@
         now_s = self.timers.now()
         gap_s = self.view.excuse_own_gap(now_s)
         if gap_s:
-            loguru.logger.warning(
-                '{} this process stood still for {:.1f} s', _LOG_PREFIX, gap_s
-            )
+            _LOG.warning('this process stood still for {:.1f} s', gap_s)
         return now_s
 
     def peers(self) -> tuple[Peer, ...]:
@@ -140,9 +138,7 @@
         """Write a line for each instance whose state changed."""
         for epoch, state in states.items():
             if self.states.get(epoch) is not state:
-                loguru.logger.info(
-                    '{} instance {} is {}', _LOG_PREFIX, epoch, state.value
-                )
+                _LOG.info('instance {} is {}', epoch, state.value)
 
     def forget(self) -> None:
         """Close the ways to instances that have been dead for long."""
