Tell a taken peer port from other failures, and never pick a port twice

The chooser now gives each port once a process; a race with another test run is left. The scenario of the taken port failed before with pynng's own exception.

--- a/features/bus/bus.feature
+++ b/features/bus/bus.feature
@@ -41,3 +41,8 @@
     When bus "a" sends notes 1 to 2 to "b" before it listens
     And peer bus "b" starts to listen
     Then bus "b" hands over notes 1 to 2 in order from "a"
+
+  Scenario: A peer port that is taken is told as such
+    Given peer buses "a" and "b" on real sockets
+    When another bus starts at the address of "a"
+    Then it says that it can't listen
--- a/features/steps/bus_steps.py
+++ b/features/steps/bus_steps.py
@@ -8,7 +8,7 @@
 import behave
 import msgspec
 import pynng
-from twisted.internet import task
+from twisted.internet import error, task
 
 from guavaroad.adapters import nng_peers, peer_wire, reactor_timers
 from guavaroad_standins import ports, processes
@@ -230,3 +230,17 @@
     under_test.clock.pump(itertools.repeat(nng_peers.RETRY_TICK_S, ticks))
     assert under_test.bus.counters.dropped_unreachable == count
     assert time.monotonic() - started < 1, 'a dead peer blocked the loop'
+
+
+@behave.when('another bus starts at the address of "{name}"')
+def when_taken(context, name):
+    rival = nng_peers.Inlet
+    try:
+        rival(address=context.buses[name].address, take=print)
+    except error.CannotListenError as refused:
+        context.refused = refused
+
+
+@behave.then("it says that it can't listen")
+def then_cannot_listen(context):
+    assert 'Address in use' in str(context.refused), context.refused
--- a/packages/guavaroad/src/guavaroad/adapters/nng_peers.py
+++ b/packages/guavaroad/src/guavaroad/adapters/nng_peers.py
@@ -14,6 +14,7 @@
 import loguru
 import msgspec
 import pynng
+from twisted.internet import error
 
 from guavaroad.adapters import peer_wire
 from guavaroad.domain import identity, names
@@ -291,7 +292,11 @@
         self.socket = pynng.Pull0(
             recv_buffer_size=_RECEIVE_FRAMES, recv_max_size=_RECEIVE_BYTES
         )
-        self.socket.listen(f'tcp://{address}')
+        try:
+            self.socket.listen(f'tcp://{address}')
+        except pynng.NNGException as broken:
+            host, _, port = address.rpartition(':')
+            raise error.CannotListenError(host, int(port), broken) from broken
         self.descriptor = self.socket.recv_fd
 
     def fileno(self) -> int:
--- a/standins/src/guavaroad_standins/ports.py
+++ b/standins/src/guavaroad_standins/ports.py
@@ -8,14 +8,16 @@
 _FIRST_PORT: Final = 12_000
 _LAST_PORT: Final = 32_000
 _HOST: Final = '127.0.0.1'
+_given: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on now."""
+    """Return a port that nobody listens on now, a new one each time."""
     chooser = random.SystemRandom()
     while True:
         port = chooser.randint(_FIRST_PORT, _LAST_PORT)
-        if _is_free(port):
+        if port not in _given and _is_free(port):
+            _given.add(port)
             return port
 
 
