--- a/packages/guavaroad/src/guavaroad/adapters/http_api.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-import loguru
 import msgspec
 import prometheus_client
 from twisted.internet import defer
@@ -16,12 +15,13 @@
     http_api_routes,
     http_api_tokens,
     http_api_writing,
+    logs,
 )
 from guavaroad.domain import codes
 from guavaroad.services import answers, configuration, submissions
 
 _MAX_ID_BLOCK: Final = 10_000
-_LOG_PREFIX: Final = 'api:'
+_LOG: Final = logs.logger_of('api')
 
 
 class Pages:
@@ -225,6 +225,4 @@
 
 def log_broken(broken: failure.Failure) -> None:
     """Log an exception that nothing expected."""
-    loguru.logger.opt(exception=broken.value).error(
-        '{} internal error', _LOG_PREFIX
-    )
+    _LOG.opt(exception=broken.value).error('internal error')
--- a/packages/guavaroad/src/guavaroad/services/submissions.py
+++ b/packages/guavaroad/src/guavaroad/services/submissions.py
@@ -8,8 +8,9 @@
 import xxhash
 from twisted.internet import defer
 
-from guavaroad.domain import codes, identity, jobs, names, submission
+from guavaroad.domain import codes, identity, jobs, names
 from guavaroad.domain.configuration import document
+from guavaroad.domain.submissions import submission
 from guavaroad.ports import timers
 from guavaroad.services import answers, dispatch, forwarding, outcomes
 
@@ -102,6 +103,10 @@
         self.default_deadline_s = default_deadline_s
         self.draining = False
 
+    def refuse_new(self) -> None:
+        """Take no new submission; known ones go on."""
+        self.draining = True
+
     def mint_block(self, team: names.TeamName, count: int) -> answers.Answer:
         """Answer a request for fresh ids."""
         minted = [self.minter.mint(team) for _ in range(count)]
--- a/tools/codes_page.py
+++ b/tools/codes_page.py
@@ -85,8 +85,8 @@
         (
             '## Exit codes of `guavaroadctl`',
             '',
-            'The first digit of the result code where the answer is an error, 0',
-            'where it is not (HTTP status below 400), and these of its own:',
+            'The first digit of the result code where the answer is an error,',
+            '0 where it is not (HTTP status below 400), and these of its own:',
             '',
             '| Exit | Meaning |',
             '| --- | --- |',
