--- a/features/settings/settings.feature
+++ b/features/settings/settings.feature
@@ -78,16 +78,25 @@
     When guavaroad checks the settings file "/nowhere/guavaroad.yaml"
     Then guavaroad exits with 1 and says "/nowhere/guavaroad.yaml: No such file or directory"
 
-  Scenario: A port that is taken is a clear message
-    Given the settings of an instance whose client port is taken
+  Scenario Outline: A port that is taken is a clear message
+    Given the settings of an instance whose <port> is taken
     When guavaroad starts
     Then guavaroad exits with 1 and says "guavaroad: no port: "
     And guavaroad never says "Traceback"
 
+    Examples:
+      | port           |
+      | client_address |
+      | peer_address   |
+
   Scenario: The version is printed without settings
     When guavaroad is called with "--version"
     Then guavaroad exits with 0 and says "guavaroad 0."
 
+  Scenario: The help lists the flags
+    When guavaroad is called with "--help"
+    Then guavaroad exits with 0 and says "--[no]check"
+
   Scenario: A stray word is refused
     When guavaroad is called with "check"
     Then guavaroad exits with 1 and says "unexpected argument 'check'"
