Share slots by class, team and job; eject bad upstreams

Cause: the queue picked by strict urgency in time linear in the jobs, so a flood of urgent work starved the rest, and nothing judged upstreams.

Now a class below its share goes first, the most urgent of them before the others; what no class claims is lent to the one least above its share, but for an optional reserve. Teams go by slot-seconds really taken, charged in advance and corrected at the end; jobs by fewest running tasks. Refusals come before a start: expected wait past the deadline, quota, bounds of tasks and bytes; overflow ends the newest unstarted job of the team furthest over its share.

Health: failures in a row and success rates ejects for a growing time, a probe lets back, a bounded part is out. A slot whose task failed rests until a usual task would have ended, so a black hole attracts no work. The earliest notice of leaving closes an upstream at once.

Failure found on the way: queued tasks of a job whose breaker was open went on being blamed on upstreams and ejected up-0; the scenario "A job that fails everywhere is suspended and no upstream ejected" failed first with that ejection. Ruled out: forgiving again on each failure, which would also forgive what other jobs saw.

--- /dev/null
+++ b/features/health/upstreams.feature
@@ -0,0 +1,74 @@
+Feature: Failing upstreams, failing jobs and leaving upstreams
+
+  Scenario: A black hole is ejected and attracts no more work than others
+    Given a dispatcher with 4 upstreams of 2 slots
+    And upstream "up-0" fails every task at once
+    When team "office" queues 200 normal jobs "render" of 1 tasks
+    And 2 s pass
+    Then upstream "up-0" is ejected
+    And upstream "up-0" has started at most 9 tasks
+
+  Scenario: One probe lets an ejected upstream back
+    Given a dispatcher with 4 upstreams of 2 slots
+    And upstream "up-0" fails every task at once
+    When team "office" queues 200 normal jobs "render" of 1 tasks
+    And 3 s pass
+    And upstream "up-0" is mended
+    And 3 s pass
+    And team "office" queues 20 normal jobs "render" of 1 tasks
+    And 2 s pass
+    Then upstream "up-0" is healthy
+
+  Scenario: No more than the bounded part is ejected
+    Given a dispatcher with 10 upstreams of 1 slots
+    And every upstream fails every task at once
+    When team "office" queues 300 normal jobs "render" of 1 tasks
+    And team "rival" queues 300 normal jobs "order" of 1 tasks
+    And 4 s pass
+    Then at most 3 upstreams are ejected
+
+  Scenario: A job that fails everywhere is suspended and no upstream ejected
+    Given a dispatcher with 6 upstreams of 2 slots
+    And job "broken" fails on every upstream
+    When team "office" queues 60 normal jobs "render" of 2 tasks
+    And team "office" queues 100 normal jobs "broken" of 1 tasks
+    And 3 s pass
+    Then at most 0 upstreams are ejected
+    And job "broken" is refused as suspended
+    And job "render" is not refused
+
+  Scenario: A success rate far below that of the others ejects
+    Given a dispatcher with 4 upstreams of 2 slots
+    When the upstreams "up-1 up-2 up-3" succeed 30 times each
+    And the upstream "up-0" fails two times in three of 30
+    And 6 s pass
+    Then upstream "up-0" is ejected
+
+  Scenario Outline: Nothing starts at an upstream after the first notice
+    Given a dispatcher with 2 upstreams of 2 slots
+    When <notice> that "up-0" leaves
+    And team "office" queues 20 normal jobs "render" of 1 tasks
+    And 2 s pass
+    Then upstream "up-0" has started at most 0 tasks
+    And 20 tasks have started
+
+    Examples:
+      | notice             |
+      | the platform lists |
+      | a peer tells       |
+
+  Scenario: The upstream's own word closes it and is passed on to peers
+    Given a dispatcher with 2 upstreams of 2 slots
+    And upstream "up-0" refuses every task because it leaves
+    When team "office" queues 20 normal jobs "render" of 1 tasks
+    And 2 s pass
+    Then upstream "up-0" has started at most 2 tasks
+    And the peers are told once that "up-0" leaves
+
+  Scenario: A list that lags does not take back the upstream's own word
+    Given a dispatcher with 2 upstreams of 2 slots
+    When a peer tells that "up-0" leaves
+    And the platform lists every upstream as staying
+    And team "office" queues 20 normal jobs "render" of 1 tasks
+    And 2 s pass
+    Then upstream "up-0" has started at most 0 tasks
--- /dev/null
+++ b/features/scheduling/admission.feature
@@ -0,0 +1,42 @@
+Feature: Refusals and overflow
+
+  Scenario: A job whose wait would pass its deadline is refused at once
+    Given a dispatcher with 1 upstreams of 2 slots
+    When team "office" queues 50 normal jobs "render" of 2 tasks
+    And 1 s pass
+    And team "office" asks for 2 tasks within 500 ms
+    Then it is refused as OVERLOADED with a hint when to try again
+
+  Scenario: The flood of a rival refuses nothing to a team within its share
+    Given a dispatcher with 1 upstreams of 2 slots
+    When team "rival" queues 50 normal jobs "render" of 2 tasks
+    And 1 s pass
+    And team "office" asks for 2 tasks within 500 ms
+    Then it is taken
+
+  Scenario: A team over its quota is refused
+    Given a dispatcher with 1 upstreams of 2 slots
+    And team "office" may queue 10 tasks
+    When team "office" queues 1 normal jobs "render" of 10 tasks
+    And team "office" asks for 5 tasks within 60000 ms
+    Then it is refused as OVER_QUOTA with a hint when to try again
+
+  Scenario: Overflow ends the newest work of the team furthest over its share
+    Given a dispatcher with 1 slot and room for 20 waiting tasks
+    When team "rival" queues 5 normal jobs "render" of 4 tasks
+    And team "office" queues 2 normal jobs "render" of 4 tasks
+    Then jobs of "rival" end as OVERLOADED, the newest first
+    And the last job waits
+
+  Scenario: A full queue refuses the team that filled it
+    Given a dispatcher with 1 slot and room for 20 waiting tasks
+    When team "rival" queues 5 normal jobs "render" of 4 tasks
+    And team "rival" asks for 4 tasks within 60000 ms
+    Then it is refused as OVERLOADED with a hint when to try again
+
+  Scenario: An expired job leaves the queue unstarted
+    Given a dispatcher with 1 upstreams of 1 slots
+    When team "office" queues 1 normal jobs "render" of 20 tasks
+    And team "office" queues a job with a deadline of 30 ms
+    And 1 s pass
+    Then the last job has ended as DEADLINE_PASSED and nothing of it ran
--- /dev/null
+++ b/features/scheduling/classes.feature
@@ -0,0 +1,57 @@
+Feature: Classes, teams and jobs share the slots
+
+  Scenario: A flood of the most urgent leaves every class its share
+    Given a dispatcher with 1 upstreams of 10 slots
+    When team "office" queues 3 low jobs "digest" of 10 tasks
+    And 0.05 s pass
+    And team "office" queues 3 normal jobs "render" of 10 tasks
+    And team "office" queues 10 urgent jobs "notice" of 50 tasks
+    And 0.3 s pass
+    Then the running tasks by class are 5, 3, 2
+
+  Scenario: Shares that nobody uses are lent at once
+    Given a dispatcher with 1 upstreams of 10 slots
+    When team "office" queues 3 low jobs "digest" of 10 tasks
+    Then the running tasks by class are 0, 0, 10
+
+  Scenario: The reserve lets an urgent task meet a free slot
+    Given a dispatcher with 10 slots and a reserve of 0.2
+    When team "office" queues 3 low jobs "digest" of 10 tasks
+    Then the running tasks by class are 0, 0, 8
+    When team "office" queues 1 urgent jobs "notice" of 2 tasks
+    Then the running tasks by class are 2, 0, 8
+
+  Scenario: Teams are charged by what their tasks really take
+    Given a dispatcher with 1 upstreams of 2 slots
+    And tasks of job "roast" take 400 ms
+    And tasks of job "check" take 100 ms
+    When team "slow" queues 1 normal jobs "roast" of 300 tasks
+    And team "quick" queues 1 normal jobs "check" of 300 tasks
+    And 20 s pass
+    Then team "quick" has started 3.4 to 4.6 times as many as "slow"
+
+  Scenario: A team that was idle saves up no service
+    Given a dispatcher with 1 upstreams of 2 slots
+    When team "early" queues 1 normal jobs "render" of 300 tasks
+    And 5 s pass
+    And team "late" queues 1 normal jobs "render" of 300 tasks
+    And 5 s pass
+    Then team "early" has started 2.6 to 3.4 times as many as "late"
+
+  Scenario: The job with the fewest running tasks goes next
+    Given a dispatcher with 1 upstreams of 6 slots
+    When team "office" queues 1 normal jobs "render" of 2 tasks
+    And team "office" queues 1 normal jobs "render" of 20 tasks
+    And 0.1 s pass
+    And team "office" queues 1 normal jobs "render" of 20 tasks
+    And 0.1 s pass
+    Then the starts by job are 2 13 3
+
+  Scenario: A held job is passed over until its hold ends
+    Given a dispatcher with 1 upstreams of 2 slots
+    When team "office" queues a held job of 3 tasks
+    And 0.2 s pass
+    Then 0 tasks have started
+    When the hold ends
+    And 0.05 s pass
+    Then 2 tasks have started
--- a/packages/guavaroad/src/guavaroad/adapters/http_upstreams.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_upstreams.py
@@ -70,8 +70,8 @@
     Returns:
         What became of the task.
     """
+    leaving = reply.headers.get(LEAVING_HEADER) == 'yes'
     if reply.headers.get(STARTED_HEADER) == 'no':
-        leaving = reply.headers.get(LEAVING_HEADER) == 'yes'
         return attempts.NotStarted(
             reason=attempts.NotStartedReason.LEAVING
             if leaving
@@ -80,14 +80,15 @@
     if reply.status != http.OK:
         words = reply.body[:_DETAIL_CHARS].decode(errors='replace')
         return attempts.Failed(detail=f'status {reply.status}: {words}')
-    return json_answer(reply.body)
+    return json_answer(reply.body, leaving=leaving)
 
 
-def json_answer(body: bytes) -> attempts.AttemptOutcome:
+def json_answer(body: bytes, *, leaving: bool) -> attempts.AttemptOutcome:
     """Check that the answer is JSON.
 
     Args:
         body: Body of a 200 answer.
+        leaving: Whether the upstream said that it leaves.
 
     Returns:
         The answer, or a failure if it is not JSON.
@@ -96,4 +97,4 @@
         msgspec.json.decode(body)
     except msgspec.DecodeError as broken:
         return attempts.Failed(detail=f'answer is not JSON: {broken}')
-    return attempts.Answered(body=msgspec.Raw(body))
+    return attempts.Answered(body=msgspec.Raw(body), leaving=leaving)
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -1,5 +1,6 @@
 """Composition of one entry instance."""
 
+import random
 import secrets
 from typing import Any, Final
 
@@ -17,12 +18,16 @@
     reactor_timers,
 )
 from guavaroad.domain import identity, names
+from guavaroad.domain.health import rules
+from guavaroad.domain.scheduling import admission
+from guavaroad.domain.slots import table
 from guavaroad.ports import platform
 from guavaroad.services import (
     configuration,
     directory,
     dispatch,
     forwarding,
+    health,
     outcomes,
     submissions,
 )
@@ -66,16 +71,31 @@
             timer_service=self.timers,
             period_s=chosen.platform.list_period_s,
         )
-        self.dispatcher = dispatch.Dispatcher(
+        self.dispatcher = self.dispatch_service()
+        self.submissions = self.submission_service()
+        self.directory.on_change.append(self.upstreams_changed)
+
+    def dispatch_service(self) -> dispatch.Dispatcher:
+        """Return the dispatcher with its slots and its view of health."""
+        limits = self.settings.limits
+        chooser = random.Random()
+        slots = table.SlotTable(chooser=chooser, two_choices=False)
+        return dispatch.Dispatcher(
             port=http_upstreams.HttpUpstreams(
                 client=self.client,
-                attempt_timeout_s=chosen.limits.attempt_timeout_s,
+                attempt_timeout_s=limits.attempt_timeout_s,
             ),
             timer_service=self.timers,
-            max_queued_tasks=chosen.limits.queued_tasks,
+            slots=slots,
+            health_service=health.HealthService(
+                slots=slots, timer_service=self.timers, bounds=rules.Rules()
+            ),
+            bounds=admission.Bounds(
+                tasks=limits.queued_tasks, size_bytes=limits.queued_bytes
+            ),
+            chooser=chooser,
+            configuration=self.configuration.current,
         )
-        self.submissions = self.submission_service()
-        self.directory.on_change.append(self.upstreams_changed)
 
     def submission_service(self) -> submissions.SubmissionService:
         """Return the owner of this incarnation's submissions."""
@@ -125,15 +145,7 @@
             'address': self.incarnation.address,
             'epoch': self.incarnation.epoch,
             'config_version': known.version if known else None,
-            'queued_tasks': self.dispatcher.queue.task_count,
-            'upstreams': [
-                {
-                    'name': use.upstream.name,
-                    'share': use.share,
-                    'running': use.running,
-                }
-                for use in self.dispatcher.uses.values()
-            ],
+            'dispatch': self.dispatcher.describe(),
         }
 
     def stop(self) -> 'defer.Deferred[None]':
--- a/packages/guavaroad/src/guavaroad/domain/attempts.py
+++ b/packages/guavaroad/src/guavaroad/domain/attempts.py
@@ -20,9 +20,11 @@
 
     Attributes:
         body: Encoded JSON answer.
+        leaving: Whether the upstream says that it takes no more work.
     """
 
     body: msgspec.Raw
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/guavaroad/src/guavaroad/domain/configuration/document.py
+++ b/packages/guavaroad/src/guavaroad/domain/configuration/document.py
@@ -20,6 +20,7 @@
 _SHOWN_CHARS: Final = 80
 
 Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+Reserve = Annotated[float, pydantic.Field(ge=0, le=0.5)]
 Name = Annotated[str, pydantic.Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 
 
@@ -84,6 +85,7 @@
         classes: Urgency classes.
         teams: Teams by name.
         jobs: Jobs by name.
+        reserve: Part of the slots that classes above their share leave free.
     """
 
     classes: dict[jobs.Urgency, UrgencyClass] = pydantic.Field(
@@ -91,6 +93,7 @@
     )
     teams: dict[Name, Team] = pydantic.Field(default_factory=dict)
     jobs: dict[Name, Job] = pydantic.Field(default_factory=dict)
+    reserve: Reserve = 0
 
     @pydantic.model_validator(mode='after')
     def check_whole(self) -> 'Document':
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/health/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstreams and jobs may be given work."""
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Slots of upstreams: which this instance may fill, and who holds them."""
--- a/packages/guavaroad/src/guavaroad/domain/submission.py
+++ b/packages/guavaroad/src/guavaroad/domain/submission.py
@@ -27,6 +27,7 @@
         request: The job as the client sent it.
         slots: State of each task.
         ending: Code that the job will end with, once it can't complete.
+        held: Whether no task may start yet, though the job is queued.
     """
 
     def __init__(self, *, request: jobs.JobRequest) -> None:
@@ -34,6 +35,7 @@
         self.slots = [TaskSlot() for _ in request.tasks]
         self.ending: codes.ResultCode | None = None
         self.ending_detail = ''
+        self.held = False
 
     def start(self, index: names.TaskIndex) -> bool:
         """Claim a task for its one attempt.
--- a/packages/guavaroad/src/guavaroad/services/dispatch.py
+++ b/packages/guavaroad/src/guavaroad/services/dispatch.py
@@ -1,37 +1,33 @@
 """Queues the tasks of submissions and hands them to free slots."""
 
-import dataclasses
+import random
 from collections.abc import Callable
+from typing import Any, Final, Protocol
 
-from guavaroad.domain import attempts, codes, jobs, names, submission
-from guavaroad.domain.scheduling import queues
+from guavaroad.domain import attempts, codes, names, submission
+from guavaroad.domain.configuration import document
+from guavaroad.domain.scheduling import admission, entries
+from guavaroad.domain.slots import table
 from guavaroad.ports import timers, upstreams
+from guavaroad.services import health, intake
 
 Settled = Callable[[submission.Submission], None]
 
+_BUSY_REST_S: Final = 0.02
+_HELD_CHECK_S: Final = 0.02
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class UpstreamUse:
-    """This instance's use of one upstream.
 
-    Attributes:
-        upstream: The upstream.
-        share: Slots this instance may fill.
-        running: Tasks of this instance running there.
-    """
+class SlotKeeper(Protocol):
+    """Decides which slots this instance keeps."""
 
-    upstream: upstreams.Upstream
-    share: int
-    running: int = 0
+    def slot_freed(self, use: table.UpstreamUse) -> None:
+        """Take note that a slot came free; it may be given back."""
 
-    def free(self) -> int:
-        """Return the slots that may be filled now."""
-        if self.upstream.leaving:
-            return 0
-        return max(0, self.share - self.running)
+    def pumped(self) -> None:
+        """Take note that queues or free slots changed."""
 
 
-class Dispatcher:
+class Dispatcher(intake.Intake):
     """Starts queued tasks on free slots, and reports settled submissions."""
 
     def __init__(
@@ -39,21 +35,26 @@
         *,
         port: upstreams.UpstreamPort,
         timer_service: timers.TimerService,
-        max_queued_tasks: int,
+        slots: table.SlotTable,
+        health_service: health.HealthService,
+        bounds: admission.Bounds,
+        chooser: random.Random,
+        configuration: Callable[[], document.Document | None],
     ) -> None:
+        super().__init__(
+            timer_service=timer_service,
+            slots=slots,
+            health_service=health_service,
+            bounds=bounds,
+            chooser=chooser,
+            configuration=configuration,
+        )
         self.port = port
-        self.timers = timer_service
-        self.max_queued_tasks = max_queued_tasks
-        self.queue = queues.JobQueue()
-        self.uses: dict[names.UpstreamName, UpstreamUse] = {}
         self.callbacks: dict[names.SubmissionId, Settled] = {}
         self.deadlines: dict[names.SubmissionId, timers.Timer] = {}
-
-    def refusal(self, task_count: int) -> codes.ResultCode | None:
-        """Return why a job of that size can't be queued, if it can't."""
-        if self.queue.task_count + task_count > self.max_queued_tasks:
-            return codes.ResultCode.OVERLOADED
-        return None
+        self.keeper: SlotKeeper | None = None
+        self.pump_due = False
+        timer_service.subscribe(_HELD_CHECK_S, self.check_held)
 
     def enqueue(self, job: submission.Submission, settled: Settled) -> None:
         """Queue every task of a submission.
@@ -69,6 +70,8 @@
             lambda: self.give_up(job, codes.ResultCode.DEADLINE_PASSED),
         )
         self.queue.add(job)
+        for victim in self.overflow():
+            self.give_up(victim, codes.ResultCode.OVERLOADED)
         self.pump()
 
     def give_up(
@@ -79,61 +82,105 @@
         self.queue.remove(job.request.submission_id)
         self.report_if_settled(job)
 
-    def set_upstreams(self, listed: tuple[UpstreamUse, ...]) -> None:
+    def release(self, job: submission.Submission) -> None:
+        """Let the tasks of a held job start."""
+        job.held = False
+        self.queue.changed(job)
+        self.schedule_pump()
+
+    def check_held(self) -> None:
+        """Queue jobs whose hold was ended without a call."""
+        if self.queue.release_unheld():
+            self.pump()
+
+    def set_upstreams(self, listed: tuple[table.UpstreamUse, ...]) -> None:
         """Take a new list of upstreams with this instance's shares."""
-        running = {name: use.running for name, use in self.uses.items()}
-        self.uses = {use.upstream.name: use for use in listed}
-        for name, use in self.uses.items():
-            use.running = running.get(name, 0)
+        self.slots.list_upstreams(listed)
+        self.health.list_upstreams(listed)
         self.pump()
 
+    def schedule_pump(self) -> None:
+        """Start what can start, once in this turn of the loop."""
+        if not self.pump_due:
+            self.pump_due = True
+            self.timers.call_after(0, self.pump)
+
     def pump(self) -> None:
-        """Start tasks while a slot is free and a job has a queued task."""
-        freest = sorted(self.uses.values(), key=UpstreamUse.free, reverse=True)
-        for use in freest:
-            while use.free():
-                pick = self.queue.pick(use.upstream.pool)
-                if pick is None:
-                    break
-                self.start(use, pick)
-
-    def start(self, use: UpstreamUse, pick: queues.Pick) -> None:
-        """Claim one task and hand it to the upstream."""
+        """Start tasks while a slot is free and a job may use it."""
+        self.pump_due = False
+        for name in tuple(self.queue.pools):
+            started = True
+            while started:
+                started = self.start_next(name)
+        if self.keeper is not None:
+            self.keeper.pumped()
+
+    def start_next(self, name: names.PoolName) -> bool:
+        """Start the next task of a pool; return whether one was taken."""
+        pool = self.slots.pool(name)
+        use = self.slots.choose(name)
+        if use is None:
+            return False
+        pick = self.queue.pick(name, pool.capacity(), pool.free)
+        if pick is None:
+            return False
+        if pick.job.start(pick.index):
+            self.start(use, pick)
+        else:
+            self.queue.ended(pick, 0)
+        return True
+
+    def start(self, use: table.UpstreamUse, pick: entries.Pick) -> None:
+        """Hand one claimed task to an upstream."""
         request = pick.job.request
-        if not pick.job.start(pick.index):
-            self.queue.ended(request.submission_id)
-            return
-        use.running += 1
+        self.slots.started(use)
         attempt = upstreams.Attempt(
             submission_id=request.submission_id,
             index=pick.index,
             job=request.job,
             payload=bytes(request.tasks[pick.index].payload),
         )
+        began_s = self.timers.now()
         pending = self.port.start(use.upstream, attempt)
-        pending.addCallback(self.attempt_ended, use.upstream.name, pick)
+        pending.addCallback(self.attempt_ended, use, pick, began_s)
 
     def attempt_ended(
         self,
         outcome: attempts.AttemptOutcome,
-        name: names.UpstreamName,
-        pick: queues.Pick,
+        use: table.UpstreamUse,
+        pick: entries.Pick,
+        began_s: float,
     ) -> None:
         """Take the outcome of an attempt and start what can start next."""
-        use = self.uses.get(name)
-        if use is not None:
-            use.running -= 1
-        self.queue.ended(pick.job.request.submission_id)
+        took_s = self.timers.now() - began_s
+        self.health.record(use, pick.job.request.job, outcome)
+        rest_s = rest_after_s(outcome, self.queue.times.overall_s - took_s)
+        self.queue.ended(pick, self.queue.times.measure(pick, outcome, took_s))
         if pick.job.finish(pick.index, outcome):
             self.queue.put_back(pick)
         if pick.job.ending:
             self.queue.remove(pick.job.request.submission_id)
         self.report_if_settled(pick.job)
-        self.timers.call_after(retry_delay_s(outcome), self.pump)
+        if rest_s:
+            self.timers.call_after(rest_s, lambda: self.slot_freed(use))
+        else:
+            self.slot_freed(use)
+
+    def slot_freed(self, use: table.UpstreamUse) -> None:
+        """Use a slot again, unless the keeper gives it back."""
+        known = self.slots.uses.get(use.upstream.name)
+        if known is not None:
+            self.slots.ended(known)
+            if self.keeper is not None:
+                self.keeper.slot_freed(known)
+        self.schedule_pump()
 
     def report_if_settled(self, job: submission.Submission) -> None:
         """Call the submission's callback once, when it has settled."""
         submission_id = job.request.submission_id
+        queued = self.queue.jobs.get(submission_id)
+        if queued is not None and (queued.running or queued.waiting):
+            return
         if not job.settled():
             return
         self.queue.remove(submission_id)
@@ -144,21 +191,21 @@
         if settled is not None:
             settled(job)
 
-
-RETRY_DELAY_S = 0.02
-
-
-def retry_delay_s(outcome: attempts.AttemptOutcome) -> float:
-    """Return how long to wait before the freed slot is used again."""
-    match outcome:
-        case attempts.NotStarted():
-            return RETRY_DELAY_S
-    return 0
+    def describe(self) -> dict[str, Any]:
+        """Return queues and slots for the state dump."""
+        return {
+            'queued_tasks': self.queue.task_count,
+            'queued_bytes': self.queue.size_bytes,
+            'mean_task_s': round(self.queue.times.overall_s, 4),
+            'queues': self.queue.describe(),
+            'slots': self.slots.describe(),
+            'health': self.health.describe(),
+        }
 
 
 def static_uses(
     listed: tuple[upstreams.Upstream, ...], instance_count: int
-) -> tuple[UpstreamUse, ...]:
+) -> tuple[table.UpstreamUse, ...]:
     """Divide the slots of every upstream evenly over the instances.
 
     Args:
@@ -169,7 +216,7 @@
         One use an upstream.
     """
     return tuple(
-        UpstreamUse(
+        table.UpstreamUse(
             upstream=upstream,
             share=max(1, upstream.slots // max(1, instance_count)),
         )
@@ -177,6 +224,22 @@
     )
 
 
-def outcome_of(job: submission.Submission) -> jobs.JobOutcome:
-    """Return the outcome of a settled submission."""
-    return job.outcome()
+def rest_after_s(outcome: attempts.AttemptOutcome, unused_s: float) -> float:
+    """Return how long a slot rests before its next task.
+
+    A slot whose task failed rests until a usual task would have ended, so
+    that an upstream that fails at once attracts no more work.
+
+    Args:
+        outcome: What became of the attempt.
+        unused_s: Seconds by which it was shorter than a usual task.
+
+    Returns:
+        Seconds, 0 for none.
+    """
+    match outcome:
+        case attempts.NotStarted():
+            return _BUSY_REST_S
+        case attempts.Failed() | attempts.Lost():
+            return max(0, unused_s)
+    return 0
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/services/health.py
@@ -0,0 +1,197 @@
+"""Closes upstreams that leave or fail, and suspends jobs that always fail."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import loguru
+
+from guavaroad.domain import attempts, codes, jobs, names
+from guavaroad.domain.health import (
+    job_book,
+    leaving_book,
+    record,
+    rules,
+    upstream_book,
+)
+from guavaroad.domain.slots import table
+from guavaroad.ports import timers
+
+_LOG_PREFIX: Final = 'health:'
+_TICK_S: Final = 0.25
+
+NoticeFollower = Callable[[names.UpstreamName, str], object]
+
+
+class HealthService:
+    """Feeds outcomes to the books and applies them to the slot table."""
+
+    def __init__(
+        self,
+        *,
+        slots: table.SlotTable,
+        timer_service: timers.TimerService,
+        bounds: rules.Rules,
+    ) -> None:
+        self.slots = slots
+        self.timers = timer_service
+        self.upstreams = upstream_book.UpstreamBook(bounds=bounds)
+        self.jobs = job_book.JobBook(bounds=bounds)
+        self.leaving = leaving_book.LeavingBook()
+        self.on_notice: list[NoticeFollower] = []
+        timer_service.subscribe(_TICK_S, self.tick)
+
+    def tick(self) -> None:
+        """End ejections that are over, and judge success rates."""
+        self.upstreams.tick(self.timers.now())
+        self.apply()
+
+    def list_upstreams(self, listed: tuple[table.UpstreamUse, ...]) -> None:
+        """Take a new list of the platform."""
+        known = tuple(use.upstream for use in listed)
+        self.upstreams.list_upstreams({one.name for one in known})
+        self.leaving.follow(known, self.timers.now())
+        self.apply()
+
+    def leaving_told(self, name: names.UpstreamName, address: str) -> None:
+        """Take the notice of a peer that an upstream leaves."""
+        self.take_notice(name, address, leaving_book.NoticeSource.PEER)
+
+    def take_notice(
+        self,
+        name: names.UpstreamName,
+        address: str,
+        source: leaving_book.NoticeSource,
+    ) -> bool:
+        """Close an upstream at its first notice; return if it is the first."""
+        notice = leaving_book.Notice(
+            source=source, noticed_s=self.timers.now(), address=address
+        )
+        first = self.leaving.take(name, notice)
+        if first:
+            loguru.logger.info(
+                '{} {} leaves, told by {}', _LOG_PREFIX, name, source.value
+            )
+            self.apply()
+        return first
+
+    def record(
+        self,
+        use: table.UpstreamUse,
+        job: names.JobName,
+        outcome: attempts.AttemptOutcome,
+    ) -> None:
+        """Take the outcome of an attempt."""
+        name = use.upstream.name
+        match outcome:
+            case attempts.Answered():
+                self.upstreams.succeeded(name)
+                self.jobs.succeeded(job)
+                if outcome.leaving:
+                    self.own_notice(use)
+            case attempts.Failed() | attempts.Lost():
+                self.failed(name, job)
+            case attempts.NotStarted():
+                self.not_started(use, job, outcome)
+        current = self.slots.uses.get(name)
+        if current is not None:
+            self.apply_to(current)
+
+    def not_started(
+        self,
+        use: table.UpstreamUse,
+        job: names.JobName,
+        outcome: attempts.NotStarted,
+    ) -> None:
+        """Take an attempt that started nothing; the job is not to blame."""
+        match outcome.reason:
+            case attempts.NotStartedReason.LEAVING:
+                self.own_notice(use)
+            case attempts.NotStartedReason.CONNECT_FAILED:
+                self.upstreams.failed(use.upstream.name, job, self.timers.now())
+
+    def own_notice(self, use: table.UpstreamUse) -> None:
+        """Take the upstream's own word that it leaves, and pass it on."""
+        name = use.upstream.name
+        source = leaving_book.NoticeSource.UPSTREAM
+        if self.take_notice(name, use.upstream.address, source):
+            for told in self.on_notice:
+                told(name, use.upstream.address)
+
+    def failed(self, name: names.UpstreamName, job: names.JobName) -> None:
+        """Blame the upstream, or the job if it fails where others do not."""
+        now_s = self.timers.now()
+        if self.jobs.suspended(job):
+            self.jobs.failed(job, name, serves_others=False, now_s=now_s)
+            return
+        known = self.upstreams.record_of(name)
+        others = known.in_a_row.keys() - {job}
+        self.upstreams.failed(name, job, now_s)
+        opened = self.jobs.failed(
+            job, name, serves_others=not others, now_s=now_s
+        )
+        if opened:
+            loguru.logger.warning(
+                '{} job {} is suspended: it fails on several upstreams',
+                _LOG_PREFIX,
+                job,
+            )
+            self.upstreams.forgive(job)
+            self.apply()
+
+    def refusal(self, job: names.JobName) -> jobs.JobEnded | None:
+        """Return why a job is not taken, if it is suspended."""
+        now_s = self.timers.now()
+        retry_after_s = self.jobs.retry_after_s(job, now_s)
+        if self.jobs.may_submit(job, now_s):
+            return None
+        code = codes.ResultCode.JOB_SUSPENDED
+        return jobs.JobEnded(
+            code=code,
+            detail=codes.facts_of(code).meaning,
+            retry_after_s=retry_after_s,
+        )
+
+    def apply(self) -> None:
+        """Set the state of every use from the books."""
+        for use in self.slots.uses.values():
+            self.apply_to(use)
+
+    def apply_to(self, use: table.UpstreamUse) -> None:
+        """Set the state of one use from the books."""
+        known = self.upstreams.record_of(use.upstream.name)
+        ejected = known.state is record.HealthState.EJECTED
+        probing = known.state is record.HealthState.PROBING
+        closed = ejected or self.leaving.leaves(use.upstream.name)
+        if (use.closed, use.probing) == (closed, probing):
+            return
+        if ejected:
+            loguru.logger.warning(
+                '{} {} is ejected: {}',
+                _LOG_PREFIX,
+                use.upstream.name,
+                known.reason,
+            )
+        self.slots.set_state(use, closed=closed, probing=probing)
+
+    def describe(self) -> dict[str, Any]:
+        """Return why upstreams are closed and jobs suspended."""
+        return {
+            'upstreams': {
+                name: {
+                    'state': known.state.value,
+                    'reason': known.reason,
+                    'ejections': known.ejections,
+                }
+                for name, known in self.upstreams.records.items()
+                if known.state is not record.HealthState.HEALTHY
+            },
+            'leaving': {
+                name: notice.source.value
+                for name, notice in self.leaving.notices.items()
+            },
+            'jobs': {
+                name: breaker.state.value
+                for name, breaker in self.jobs.breakers.items()
+                if breaker.state is not job_book.BreakerState.CLOSED
+            },
+        }
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/services/intake.py
@@ -0,0 +1,77 @@
+"""Which jobs a dispatcher takes, judged by its queues and its slots."""
+
+import random
+from collections.abc import Callable, Iterator
+
+from guavaroad.domain import codes, jobs, submission
+from guavaroad.domain.configuration import document
+from guavaroad.domain.scheduling import admission, job_queue, policy
+from guavaroad.domain.slots import table
+from guavaroad.ports import timers
+from guavaroad.services import health
+
+
+class Intake:
+    """Refuses jobs early and truthfully; the base of the dispatcher."""
+
+    def __init__(
+        self,
+        *,
+        timer_service: timers.TimerService,
+        slots: table.SlotTable,
+        health_service: health.HealthService,
+        bounds: admission.Bounds,
+        chooser: random.Random,
+        configuration: Callable[[], document.Document | None],
+    ) -> None:
+        self.timers = timer_service
+        self.slots = slots
+        self.health = health_service
+        self.configuration = configuration
+        self.queue = job_queue.JobQueue()
+        self.admission = admission.Admission(
+            queue=self.queue, bounds=bounds, chooser=chooser
+        )
+
+    def configure(self) -> None:
+        """Take shares, weights and quotas of the configuration in force."""
+        config = self.configuration()
+        if config is not None and self.queue.rules.config is not config:
+            self.queue.rules = policy.Policy(config=config)
+
+    def refusal(self, task_count: int) -> codes.ResultCode | None:
+        """Return why no job of that size is ever queued, if that is so."""
+        if task_count > self.admission.bounds.tasks:
+            return codes.ResultCode.OVERLOADED
+        return None
+
+    def refuse(self, request: jobs.JobRequest) -> jobs.JobEnded | None:
+        """Return why a checked job is refused now, if it is.
+
+        Args:
+            request: The job; nothing of it has run.
+
+        Returns:
+            The refusal, "not run", with a hint when to try again.
+        """
+        self.configure()
+        suspended = self.health.refusal(request.job)
+        if suspended is not None:
+            return suspended
+        capacity = self.slots.pool(request.pool).capacity()
+        return self.admission.refusal(request, capacity, self.timers.now())
+
+    def expected_wait_s(self, request: jobs.JobRequest) -> float:
+        """Return the wait expected before the last start of a job."""
+        capacity = self.slots.pool(request.pool).capacity()
+        return self.admission.expected_wait_s(request, capacity)
+
+    def overflow(self) -> Iterator[submission.Submission]:
+        """Iterate over the jobs to end until the bounds hold.
+
+        Each one has to be ended before the next is asked for.
+        """
+        victim = self.admission.overflow()
+        while victim is not None:
+            yield victim
+            victim = self.admission.overflow()
--- a/packages/guavaroad/src/guavaroad/services/submissions.py
+++ b/packages/guavaroad/src/guavaroad/services/submissions.py
@@ -206,7 +206,8 @@
         refusal = self.refusal(len(body.tasks), job.max_tasks)
         if refusal is not None:
             return jobs.JobEnded(code=refusal)
-        return self.job_request(submission_id, request, body, job, digest)
+        checked = self.job_request(submission_id, request, body, job, digest)
+        return self.dispatcher.refuse(checked) or checked
 
     def refusal(
         self, task_count: int, max_tasks: int
--- a/packages/guavaroad/src/guavaroad/settings.py
+++ b/packages/guavaroad/src/guavaroad/settings.py
@@ -10,6 +10,8 @@
 
 from guavaroad.domain.configuration import document
 
+_QUEUED_BYTES = 64 * 1024 * 1024
+
 Port = Annotated[int, pydantic.Field(ge=1, le=65_535)]
 Seconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
 
@@ -78,6 +80,7 @@
     Attributes:
         body_bytes: Largest request body.
         queued_tasks: Most tasks waiting in all.
+        queued_bytes: Most payload bytes waiting in all.
         kept_outcomes: Most ended submissions kept.
         id_lifetime_s: How long a submission id is good.
         default_deadline_s: Deadline of a job that names none.
@@ -88,6 +91,7 @@
 
     body_bytes: Annotated[int, pydantic.Field(ge=1024)] = 8 * 1024 * 1024
     queued_tasks: Annotated[int, pydantic.Field(ge=1)] = 200_000
+    queued_bytes: Annotated[int, pydantic.Field(ge=1024)] = _QUEUED_BYTES
     kept_outcomes: Annotated[int, pydantic.Field(ge=1)] = 100_000
     id_lifetime_s: Seconds = 3600
     default_deadline_s: Seconds = 60
