--- a/features/steps/health_steps.py
+++ b/features/steps/health_steps.py
@@ -92,7 +92,7 @@
 @behave.when('the platform lists every upstream as staying')
 def when_staying(context):
     world = context.world
-    world.dispatcher.set_upstreams(dispatch.static_uses(tuple(world.listed), 1))
+    world.dispatcher.set_upstreams(dispatch.static_uses(tuple(world.listed), 0, 1))
 
 
 @behave.then('upstream "{name}" is {state}')
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -110,7 +110,7 @@
     def list_upstreams(self):
         """Show the dispatcher the platform's list."""
         self.dispatcher.set_upstreams(
-            dispatch.static_uses(tuple(self.listed), 1)
+            dispatch.static_uses(tuple(self.listed), 0, 1)
         )
 
     def request(self, team, urgency, count, job, deadline_s=LONG_S):
--- a/packages/guavaroad/src/guavaroad/domain/slots/table.py
+++ b/packages/guavaroad/src/guavaroad/domain/slots/table.py
@@ -43,6 +43,7 @@
     Attributes:
         held: Slots this instance may fill, busy ones included.
         free: Slots of those that are free.
+        least_free: Least of `free` since it was last read.
         entitled: Slots an equal division would give this instance.
         open_uses: Uses with a free slot, the longest unused first.
     """
@@ -50,6 +51,7 @@
     def __init__(self) -> None:
         self.held = 0
         self.free = 0
+        self.least_free = 0
         self.entitled = 0
         self.open_uses: collections.OrderedDict[
             names.UpstreamName, UpstreamUse
@@ -59,6 +61,12 @@
         """Return the slots by which shares of classes are counted."""
         return max(self.held, self.entitled)
 
+    def unused(self) -> int:
+        """Return the slots that nobody used since the last call."""
+        least = self.least_free
+        self.least_free = self.free
+        return least
+
     def withdraw(self, use: UpstreamUse) -> None:
         """Leave a use out of the counts while it changes."""
         if not use.closed:
@@ -71,6 +79,7 @@
         if not use.closed:
             self.held += use.share
         self.free += free
+        self.least_free = min(self.least_free, self.free)
         name = use.upstream.name
         if free:
             self.open_uses[name] = use
@@ -108,6 +117,14 @@
             self.uses[use.upstream.name] = use
             self.pool(use.upstream.pool).offer(use)
 
+    def of_zone(self, zone: names.AvailabilityZone) -> list[UpstreamUse]:
+        """Return the uses of a zone's upstreams."""
+        return [
+            use
+            for use in self.uses.values()
+            if use.upstream.availability_zone == zone
+        ]
+
     def choose(self, name: names.PoolName) -> UpstreamUse | None:
         """Return a use of the pool with a free slot, if there is one.
 
--- a/packages/guavaroad/src/guavaroad/services/dispatch.py
+++ b/packages/guavaroad/src/guavaroad/services/dispatch.py
@@ -7,7 +7,7 @@
 from guavaroad.domain import attempts, codes, names, submission
 from guavaroad.domain.configuration import document
 from guavaroad.domain.scheduling import admission, entries
-from guavaroad.domain.slots import table
+from guavaroad.domain.slots import division, table
 from guavaroad.ports import timers, upstreams
 from guavaroad.services import health, intake
 
@@ -204,23 +204,22 @@
 
 
 def static_uses(
-    listed: tuple[upstreams.Upstream, ...], instance_count: int
+    listed: tuple[upstreams.Upstream, ...], index: int, count: int
 ) -> tuple[table.UpstreamUse, ...]:
     """Divide the slots of every upstream evenly over the instances.
 
     Args:
         listed: Upstreams of the platform's list.
-        instance_count: Live entry instances.
+        index: Place of this instance among all, from 0.
+        count: Live entry instances.
 
     Returns:
         One use an upstream.
     """
+    shares = division.equal_shares(listed, index, count)
     return tuple(
-        table.UpstreamUse(
-            upstream=upstream,
-            share=max(1, upstream.slots // max(1, instance_count)),
-        )
-        for upstream in listed
+        table.UpstreamUse(upstream=known, share=shares[known.name])
+        for known in listed
     )
 
 
