--- a/packages/guavaroad/src/guavaroad/domain/slots/link.py
+++ b/packages/guavaroad/src/guavaroad/domain/slots/link.py
@@ -37,7 +37,9 @@
         fallback: Whether a static share is used for want of an allocator.
     """
 
-    def __init__(self, *, zone: names.AvailabilityZone, now_s: float) -> None:
+    def __init__(
+        self, *, zone: names.AvailabilityZone, lease_s: float, now_s: float
+    ) -> None:
         self.zone = zone
         self.allocator: names.PeerAddress | None = None
         self.fallback = False
--- a/packages/guavaroad/src/guavaroad/services/allocation.py
+++ b/packages/guavaroad/src/guavaroad/services/allocation.py
@@ -305,4 +305,3 @@
         for pool, asked in demands.items()
         if short.get(pool)
     }
-
--- a/packages/guavaroad/src/guavaroad/services/slots.py
+++ b/packages/guavaroad/src/guavaroad/services/slots.py
@@ -1,7 +1,6 @@
 """Leases of slots: tells demand, takes grants, gives back what others need."""
 
 import dataclasses
-import enum
 from typing import Any, Final
 
 from guavaroad.domain import names
@@ -13,15 +12,6 @@
 _FALLBACK_CHECKS: Final = 4
 
 
-class SlotMode(enum.Enum):
-    """How the slots of upstreams are divided among the instances."""
-
-    STATIC = 'static'
-    TWO_CHOICES = 'two_choices'
-    LEASES_UNTIL_IDLE = 'leases_until_idle'
-    LEASES = 'leases'
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseTimes:
     """Periods of the leases.
--- a/packages/guavaroad/src/guavaroad/settings.py
+++ b/packages/guavaroad/src/guavaroad/settings.py
@@ -1,6 +1,7 @@
 """Settings of one instance, read from YAML and checked before use."""
 
 import dataclasses
+import enum
 import ipaddress
 import pathlib
 from typing import Annotated, Any
@@ -79,6 +80,9 @@
 
     Attributes:
         body_bytes: Largest request body.
+        held_body_bytes: Most bytes of request bodies held at once.
+        request_timeout_s: From the first byte of a request to its last.
+        connections: Most connections of clients, operators and peers.
         queued_tasks: Most tasks waiting in all.
         queued_bytes: Most payload bytes waiting in all.
         kept_outcomes: Most ended submissions kept.
@@ -90,6 +94,9 @@
     """
 
     body_bytes: Annotated[int, pydantic.Field(ge=1024)] = 8 * 1024 * 1024
+    held_body_bytes: Annotated[int, pydantic.Field(ge=1024)] = 64 * 1024 * 1024
+    request_timeout_s: Seconds = 20
+    connections: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 4000
     queued_tasks: Annotated[int, pydantic.Field(ge=1)] = 200_000
     queued_bytes: Annotated[int, pydantic.Field(ge=1024)] = _QUEUED_BYTES
     kept_outcomes: Annotated[int, pydantic.Field(ge=1)] = 100_000
@@ -100,6 +107,37 @@
     fleet_size: Annotated[int, pydantic.Field(ge=1)] = 9
 
 
+class SlotMode(enum.Enum):
+    """How the slots of upstreams are divided among the instances."""
+
+    STATIC = 'static'
+    TWO_CHOICES = 'two_choices'
+    LEASES_UNTIL_IDLE = 'leases_until_idle'
+    LEASES = 'leases'
+
+
+class Slots(document.Strict):
+    """How slots are leased.
+
+    Attributes:
+        mode: Way of dividing them.
+        tick_ms: Changes are collected this long before they are told.
+        lease_s: Holdings last this long without a word of the allocator.
+        linger_s: Slots that nobody used for so long go back.
+        fallback_s: Wait for an allocator before an equal share is used.
+        stock: Part of an equal share that is kept though idle.
+        nearest_zones: Other zones to ask for slots, the nearest first.
+    """
+
+    mode: SlotMode = SlotMode.LEASES
+    tick_ms: Annotated[float, pydantic.Field(ge=0, le=1000)] = 2
+    lease_s: Seconds = 3
+    linger_s: Seconds = 0.1
+    fallback_s: Seconds = 1
+    stock: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.25
+    nearest_zones: tuple[document.Name, ...] = ()
+
+
 class Logs(document.Strict):
     """Where logs go.
 
@@ -123,6 +161,7 @@
         peers: Peer addresses to begin with.
         tokens: Bearer tokens.
         limits: Bounds.
+        slots: How slots are leased.
         logs: Where logs go.
         drain_s: Longest planned stop.
     """
@@ -132,6 +171,7 @@
     peers: tuple[Address, ...] = ()
     tokens: Annotated[tuple[Token, ...], pydantic.Field(min_length=1)]
     limits: Limits = Limits()
+    slots: Slots = Slots()
     logs: Logs = Logs()
     drain_s: Seconds = 30
 
