--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""What several step modules share."""
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -2,16 +2,20 @@
 
 from typing import Any, Final
 
-import loguru
 import prometheus_client
 from twisted.internet import defer
 
-from guavaroad import composition, composition_dispatch, settings
-from guavaroad.adapters import http_api, http_api_tokens
+from guavaroad import (
+    composition,
+    composition_dispatch,
+    settings,
+    settings_slots,
+)
+from guavaroad.adapters import http_api, http_api_tokens, logs
 from guavaroad.ports import platform
 from guavaroad.services import dispatch
 
-_LOG_PREFIX: Final = 'app:'
+_LOG: Final = logs.logger_of('app')
 
 
 class Application:
@@ -24,6 +28,7 @@
     def __init__(self, *, reactor: Any, chosen: settings.Settings) -> None:
         self.base = composition.foundation(reactor, chosen)
         self.platform = composition.platform_link(self.base)
+        self.bus = composition.peer_bus(self.base)
         self.configuration = composition.configuration_service(
             self.base, self.platform
         )
@@ -42,7 +47,7 @@
         addresses = {entry.address for entry in listed.entries} | {own}
         index = sorted(addresses).index(own)
         match self.base.settings.slots.mode:
-            case settings.SlotMode.TWO_CHOICES:
+            case settings_slots.SlotMode.TWO_CHOICES:
                 uses = dispatch.static_uses(listed.upstreams, 0, 1)
             case _:
                 uses = dispatch.static_uses(
@@ -65,9 +70,10 @@
         site = composition.client_site(self.base, api)
         address = self.base.incarnation.address
         host, _, port = address.rpartition(':')
+        self.bus.start()
         self.configuration.refresh()
         self.directory.refresh()
-        loguru.logger.info('{} listening on {}', _LOG_PREFIX, address)
+        _LOG.info('listening on {}', address)
         return self.base.reactor.listenTCP(int(port), site, interface=host)
 
     def state(self) -> dict[str, Any]:
@@ -80,6 +86,7 @@
             'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
             'dispatch': self.dispatcher.describe(),
+            'bus': self.bus.describe(),
         }
 
     def stop(self) -> 'defer.Deferred[None]':
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -10,6 +10,8 @@
     http_api_site,
     http_client,
     http_platform,
+    nng_peers,
+    peer_wire,
     reactor_timers,
 )
 from guavaroad.domain import identity, names
@@ -82,6 +84,22 @@
     )
 
 
+def peer_bus(base: Foundation) -> nng_peers.NngBus:
+    """Return the messages between instances."""
+    incarnation = base.incarnation
+    instance = base.settings.instance
+    return nng_peers.NngBus(
+        reactor=base.reactor,
+        timer_service=base.timers,
+        sender=peer_wire.Sender(
+            availability_zone=incarnation.availability_zone,
+            address=incarnation.address,
+            epoch=incarnation.epoch,
+            peer_address=names.PeerAddress(instance.peer_address),
+        ),
+    )
+
+
 def configuration_service(
     base: Foundation, link: http_platform.PlatformLink
 ) -> configuration.ConfigurationService:
--- a/packages/guavaroad/src/guavaroad/composition_dispatch.py
+++ b/packages/guavaroad/src/guavaroad/composition_dispatch.py
@@ -2,7 +2,7 @@
 
 import random
 
-from guavaroad import composition, settings
+from guavaroad import composition, settings_slots
 from guavaroad.adapters import http_upstreams
 from guavaroad.domain.health import rules
 from guavaroad.domain.scheduling import admission
@@ -19,7 +19,8 @@
     chooser = random.Random()
     slots = table.SlotTable(
         chooser=chooser,
-        two_choices=base.settings.slots.mode is settings.SlotMode.TWO_CHOICES,
+        two_choices=base.settings.slots.mode
+        is settings_slots.SlotMode.TWO_CHOICES,
     )
     return dispatch.Dispatcher(
         port=http_upstreams.HttpUpstreams(
--- a/packages/guavaroad/src/guavaroad/domain/slots/division.py
+++ b/packages/guavaroad/src/guavaroad/domain/slots/division.py
@@ -25,7 +25,13 @@
     shares: dict[names.UpstreamName, int] = {}
     dealt = 0
     for known in sorted(listed, key=lambda one: one.name):
-        turns = range(dealt, dealt + known.slots)
-        shares[known.name] = sum(turn % count == index for turn in turns)
+        before = dealt
         dealt += known.slots
+        taken = dealt_to(index, count, dealt) - dealt_to(index, count, before)
+        shares[known.name] = taken
     return shares
+
+
+def dealt_to(index: int, count: int, dealt: int) -> int:
+    """Return how many of the first slots fell to one of many in turn."""
+    return (dealt + count - 1 - index) // count
--- a/packages/guavaroad/src/guavaroad/services/allocation.py
+++ b/packages/guavaroad/src/guavaroad/services/allocation.py
@@ -17,7 +17,7 @@
 )
 from guavaroad.ports import peers, timers
 
-_LOG_PREFIX: Final = 'slots:'
+_LOG: Final = loguru.logger.bind(part='slots')
 _CHECKS_PER_LEASE: Final = 6
 
 Deliver = Callable[[names.PeerAddress, msgspec.Struct], None]
@@ -209,9 +209,7 @@
         """Begin or end to allocate."""
         if chosen == (self.current is not None):
             return
-        loguru.logger.info(
-            '{} allocates {}: {}', _LOG_PREFIX, self.zone, chosen
-        )
+        _LOG.info('allocates {}: {}', self.zone, chosen)
         self.current = None
         if chosen:
             self.current = allocator.Allocator(
--- a/packages/guavaroad/src/guavaroad/services/health.py
+++ b/packages/guavaroad/src/guavaroad/services/health.py
@@ -16,7 +16,7 @@
 from guavaroad.domain.slots import table
 from guavaroad.ports import timers
 
-_LOG_PREFIX: Final = 'health:'
+_LOG: Final = loguru.logger.bind(part='health')
 _TICK_S: Final = 0.25
 
 NoticeFollower = Callable[[names.UpstreamName, str], object]
@@ -68,9 +68,7 @@
         )
         first = self.leaving.take(name, notice)
         if first:
-            loguru.logger.info(
-                '{} {} leaves, told by {}', _LOG_PREFIX, name, source.value
-            )
+            _LOG.info('{} leaves, told by {}', name, source.value)
             self.apply()
         return first
 
@@ -130,9 +128,8 @@
             job, name, serves_others=not others, now_s=now_s
         )
         if opened:
-            loguru.logger.warning(
-                '{} job {} is suspended: it fails on several upstreams',
-                _LOG_PREFIX,
+            _LOG.warning(
+                'job {} is suspended: it fails on several upstreams',
                 job,
             )
             self.upstreams.forgive(job)
@@ -165,9 +162,8 @@
         if (use.closed, use.probing) == (closed, probing):
             return
         if ejected:
-            loguru.logger.warning(
-                '{} {} is ejected: {}',
-                _LOG_PREFIX,
+            _LOG.warning(
+                '{} is ejected: {}',
                 use.upstream.name,
                 known.reason,
             )
