--- a/features/support/worlds.py
+++ b/features/support/worlds.py
@@ -68,7 +68,7 @@
 
     def end_due(self):
         """End the tasks whose time has come."""
-        now = self.clock.seconds() + STEP_S / 2
+        now = self.clock.seconds() + 1e-6
         due = [one for one in self.running if one.ends_s <= now]
         self.running = [one for one in self.running if one.ends_s > now]
         for ended in due:
@@ -78,12 +78,14 @@
 class World:
     """One dispatcher on a fake clock with fake upstreams."""
 
-    def __init__(self, *, count, slots, config=None, bounds=None):
-        self.clock = task.Clock()
+    def __init__(
+        self, *, count, slots, config=None, bounds=None, clock=None, port=None
+    ):
+        self.clock = clock or task.Clock()
         self.timers = reactor_timers.ReactorTimers(
             clock=self.clock, wall_clock=self.clock.seconds
         )
-        self.port = FakeUpstreams(self.clock)
+        self.port = port or FakeUpstreams(self.clock)
         chooser = random.Random(1)
         self.slots = table.SlotTable(chooser=chooser, two_choices=False)
         self.config = config or document.Document()
--- a/packages/guavaroad/src/guavaroad/domain/slots/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/slots/allocator.py
@@ -32,8 +32,8 @@
     Attributes:
         zone: The availability zone.
         moves: Whether holders give back freed slots to less served jobs.
-        grants_from_s: Nothing is granted before; until then holders of the
-            allocator before this one announce what they hold.
+        grants_from_s: Until then holders of the allocator before this one
+            announce what they hold, and only what was given back is granted.
     """
 
     def __init__(
@@ -68,6 +68,7 @@
             self.holders[sender] = known
         if report.sequence <= known.reported:
             return
+        self.slots.surrender(report.returned)
         self.slots.change(known.held, -1)
         known.take(report, now_s)
         known.answer_due |= self.answer_due(known, report, now_s)
@@ -106,8 +107,9 @@
         for address in lapsed:
             self.forget(address)
         if now_s >= self.grants_from_s:
-            for pool in self.slots.pools():
-                self.grant_pool(pool)
+            self.slots.waiting = False
+        for pool in self.slots.pools():
+            self.grant_pool(pool)
         return tuple(self.new_orders(now_s))
 
     def grant_pool(self, pool: str) -> None:
@@ -121,7 +123,7 @@
             if chosen is None:
                 skipped.add(ranked.address)
             else:
-                self.slots.change({chosen: 1}, 1)
+                self.slots.grant(chosen)
                 ranked.grant(chosen, pool)
 
     def waiting(
--- a/packages/guavaroad/src/guavaroad/domain/slots/free_slots.py
+++ b/packages/guavaroad/src/guavaroad/domain/slots/free_slots.py
@@ -6,9 +6,17 @@
 
 
 class FreeSlots:
-    """Slots and holdings by upstream."""
+    """Slots and holdings by upstream.
+
+    Attributes:
+        surrendered: Slots that holders gave back to this allocator; only
+            these are free for certain while `waiting`.
+        waiting: Whether holders may not have announced everything yet.
+    """
 
     def __init__(self) -> None:
+        self.waiting = True
+        self.surrendered: dict[str, int] = {}
         self.upstreams: dict[str, upstream.Upstream] = {}
         self.held: dict[str, int] = {}
 
@@ -22,6 +30,28 @@
             before = self.held.get(name, 0)
             self.held[name] = before + sign * count
 
+    def surrender(self, returned: Mapping[str, int]) -> None:
+        """Note slots that a holder gave back."""
+        if self.waiting:
+            for name, count in returned.items():
+                before = self.surrendered.get(name, 0)
+                self.surrendered[name] = before + count
+
+    def grant(self, name: str) -> None:
+        """Count one more slot as held."""
+        self.change({name: 1}, 1)
+        if self.waiting:
+            self.surrendered[name] -= 1
+
+    def free_at(self, known: upstream.Upstream) -> int:
+        """Return the slots of an upstream that may be granted."""
+        if known.leaving:
+            return 0
+        free = known.slots - self.held.get(known.name, 0)
+        if self.waiting:
+            return min(free, self.surrendered.get(known.name, 0))
+        return free
+
     def pools(self) -> tuple[str, ...]:
         """Return the pools of the upstreams."""
         return tuple({known.pool for known in self.upstreams.values()})
@@ -37,9 +67,9 @@
             Its name; none if nothing is free.
         """
         free = {
-            name: known.slots - self.held.get(name, 0)
+            name: self.free_at(known)
             for name, known in self.upstreams.items()
-            if known.pool == pool and not known.leaving
+            if known.pool == pool
         }
         for name in refused:
             free.pop(name, None)
--- a/packages/guavaroad/src/guavaroad/domain/slots/table.py
+++ b/packages/guavaroad/src/guavaroad/domain/slots/table.py
@@ -19,6 +19,7 @@
         upstream: The upstream.
         share: Slots this instance may fill.
         running: Slots in use: tasks that run, and slots that rest.
+        refused: Attempts in a row that the upstream refused as busy.
         closed: Whether nothing may start there: leaving or ejected.
         probing: Whether one task at a time tells if it is healthy again.
     """
@@ -26,6 +27,7 @@
     upstream: upstream_facts.Upstream
     share: int
     running: int = 0
+    refused: int = 0
     closed: bool = False
     probing: bool = False
 
--- a/packages/guavaroad/src/guavaroad/services/dispatch.py
+++ b/packages/guavaroad/src/guavaroad/services/dispatch.py
@@ -1,5 +1,6 @@
 """Queues the tasks of submissions and hands them to free slots."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any, Final, Protocol
@@ -14,6 +15,7 @@
 Settled = Callable[[submission.Submission], None]
 
 _BUSY_REST_S: Final = 0.02
+_BUSY_DOUBLINGS: Final = 4
 _HELD_CHECK_S: Final = 0.02
 
 
@@ -154,7 +156,8 @@
         """Take the outcome of an attempt and start what can start next."""
         took_s = self.timers.now() - began_s
         self.health.record(use, pick.job.request.job, outcome)
-        rest_s = rest_after_s(outcome, self.queue.times.overall_s - took_s)
+        unused_s = self.queue.times.overall_s - took_s
+        rest_s = rest_after_s(outcome, use, unused_s)
         self.queue.ended(pick, self.queue.times.measure(pick, outcome, took_s))
         if pick.job.finish(pick.index, outcome):
             self.queue.put_back(pick)
@@ -223,14 +226,19 @@
     )
 
 
-def rest_after_s(outcome: attempts.AttemptOutcome, unused_s: float) -> float:
+def rest_after_s(
+    outcome: attempts.AttemptOutcome, use: table.UpstreamUse, unused_s: float
+) -> float:
     """Return how long a slot rests before its next task.
 
     A slot whose task failed rests until a usual task would have ended, so
-    that an upstream that fails at once attracts no more work.
+    that an upstream that fails at once attracts no more work.  One that is
+    refused again and again rests longer, so that slots which two instances
+    believe to hold cost few messages.
 
     Args:
         outcome: What became of the attempt.
+        use: This instance's use of the upstream.
         unused_s: Seconds by which it was shorter than a usual task.
 
     Returns:
@@ -238,7 +246,11 @@
     """
     match outcome:
         case attempts.NotStarted():
-            return _BUSY_REST_S
+            doublings = min(use.refused, _BUSY_DOUBLINGS)
+            use.refused += 1
+            return _BUSY_REST_S * math.pow(2, doublings)
         case attempts.Failed() | attempts.Lost():
+            use.refused = 0
             return max(0, unused_s)
+    use.refused = 0
     return 0
--- a/packages/guavaroad/src/guavaroad/services/slots.py
+++ b/packages/guavaroad/src/guavaroad/services/slots.py
@@ -106,8 +106,6 @@
 
     def demand(self, pool: names.PoolName) -> messages.PoolDemand | None:
         """Return what is waited for in a pool."""
-        if self.draining:
-            return None
         capacity = self.slots.pool(pool).capacity()
         return demand.demand_of(self.dispatcher.queue, pool, capacity)
 
@@ -127,6 +125,8 @@
         """Give back idle slots that other instances wait for."""
         idle = tuple(self.slots.pool(pool).open_uses.values())
         for use in idle:
+            if self.draining:
+                self.give_back(use, use.free())
             known = self.links.link_to(use.upstream.availability_zone)
             while use.free() and known.claims(use.upstream.name, pool):
                 self.give_back(use, 1)
