--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -5,6 +5,7 @@
 from guavaroad.domain import codes, names
 from guavaroad.domain.configuration import document
 from guavaroad.domain.scheduling import admission
+from guavaroad.domain.submissions import holds
 from support import worlds
 
 
@@ -57,7 +58,7 @@
 
 @behave.when('the hold ends')
 def when_hold_ends(context):
-    context.job.held = False
+    context.job.hold.state = holds.HoldState.OPEN
 
 
 @behave.when('team "{team}" queues a job with a deadline of {ms:d} ms')
--- a/features/support/slot_worlds.py
+++ b/features/support/slot_worlds.py
@@ -1,6 +1,7 @@
 """Several instances that lease slots, on one fake clock and memory bus."""
 
 import dataclasses
+import itertools
 
 from twisted.internet import defer, task
 
@@ -65,11 +66,14 @@
     def __init__(self, world, peer):
         self.peer = peer
         self.world = world
-        super().__init__(count=0, slots=0, clock=world.clock, port=world.port)
+        shared = {'clock': world.clock, 'port': world.port}
+        super().__init__(count=0, slots=0, **shared)
         self.members = Members(world, peer.peer_address)
-        self.bus = world.network.attach(peer.incarnation, peer.peer_address)
+        address = peer.peer_address
+        self.bus = world.network.attach(peer.incarnation, address)
+        zone = peer.incarnation.availability_zone
         self.allocating = allocation.Allocating(
-            zone=peer.incarnation.availability_zone,
+            zone=zone,
             timer_service=self.timers,
             tick_s=TIMES.tick_s,
             lease_s=LEASE_S,
@@ -114,20 +118,10 @@
         self.port = FullUpstreams(self.clock, slot_count)
         self.network = memory_bus.Network(timer_service=self.timers)
         self.network.delay_s = 0.001
-        self.members = [
-            member(zone, number)
-            for zone in zones
-            for number in range(instances)
-        ]
-        self.listed = tuple(
-            dataclasses.replace(
-                worlds.listed_upstream(number, slot_count),
-                name=names.UpstreamName(f'{zone}-up-{number}'),
-                availability_zone=names.AvailabilityZone(zone),
-            )
-            for zone in zones
-            for number in range(upstreams)
-        )
+        places = itertools.product(zones, range(instances))
+        self.members = list(itertools.starmap(member, places))
+        listed = itertools.product(zones, range(upstreams), (slot_count,))
+        self.listed = tuple(itertools.starmap(listed_in, listed))
         self.instances = [LeasingInstance(self, one) for one in self.members]
         self.list_upstreams()
 
@@ -185,3 +179,12 @@
         peer_address=names.PeerAddress(f'peer-{zone}-{number}'),
         state=peers.PeerState.ALIVE,
     )
+
+
+def listed_in(zone, number, slot_count):
+    """Return an upstream of a zone."""
+    return dataclasses.replace(
+        worlds.listed_upstream(number, slot_count),
+        name=names.UpstreamName(f'{zone}-up-{number}'),
+        availability_zone=names.AvailabilityZone(zone),
+    )
--- a/features/support/worlds.py
+++ b/features/support/worlds.py
@@ -8,11 +8,12 @@
 from twisted.internet import defer, task
 
 from guavaroad.adapters import reactor_timers
-from guavaroad.domain import attempts, jobs, names, submission
+from guavaroad.domain import attempts, jobs, names
 from guavaroad.domain.configuration import document
 from guavaroad.domain.health import rules
 from guavaroad.domain.scheduling import admission
 from guavaroad.domain.slots import table
+from guavaroad.domain.submissions import holds, submission
 from guavaroad.ports import upstreams
 from guavaroad.services import dispatch, health
 
@@ -131,7 +132,8 @@
     def queue(self, request, *, held=False):
         """Queue a job."""
         job = submission.Submission(request=request)
-        job.held = held
+        if held:
+            job.hold.state = holds.HoldState.HELD
         self.jobs[request.submission_id] = job
         self.dispatcher.enqueue(job, self.settle)
         return job
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -3,7 +3,6 @@
 from typing import Any, Final
 
 import prometheus_client
-from twisted.internet import defer
 
 from guavaroad import (
     composition,
@@ -11,9 +10,14 @@
     settings,
     settings_slots,
 )
-from guavaroad.adapters import http_api, http_api_tokens, logs
+from guavaroad.adapters import (
+    http_api,
+    http_api_site,
+    http_api_tokens,
+    logs,
+)
 from guavaroad.ports import platform
-from guavaroad.services import dispatch
+from guavaroad.services import dispatch, drain
 
 _LOG: Final = logs.logger_of('app')
 
@@ -23,6 +27,7 @@
 
     Attributes:
         base: What every part is built on.
+        exit_code: Exit code of the process, once the loop has ended.
     """
 
     def __init__(self, *, reactor: Any, chosen: settings.Settings) -> None:
@@ -39,6 +44,12 @@
         self.submissions = composition.submission_service(
             self.base, self.dispatcher, self.configuration
         )
+        self.site = self.client_site()
+        self.drain = composition.drain_service(
+            self.base, self.submissions, self.site
+        )
+        self.drain.ended.addCallback(self.stopped)
+        self.exit_code = 0
         self.directory.on_change.append(self.upstreams_changed)
 
     def upstreams_changed(self, listed: platform.InstanceList) -> None:
@@ -55,8 +66,8 @@
                 )
         self.dispatcher.set_upstreams(uses)
 
-    def listen(self) -> Any:
-        """Open the client port and begin to follow the platform."""
+    def client_site(self) -> http_api_site.ApiSite:
+        """Return the site of the client port."""
         pages = http_api.Pages(
             submission_service=self.submissions,
             configuration_service=self.configuration,
@@ -67,17 +78,23 @@
             tokens=http_api_tokens.Tokens(tokens=self.base.settings.tokens),
             routes=http_api.route_table(pages),
         )
-        site = composition.client_site(self.base, api)
-        address = self.base.incarnation.address
-        host, _, port = address.rpartition(':')
+        return composition.client_site(self.base, api)
+
+    def listen(self) -> None:
+        """Open the ports and begin to follow the platform."""
+        self.open_client_port()
+        self.bus.start()
         self.configuration.refresh()
         self.directory.refresh()
-        _LOG.info('listening on {}', address)
-        return self.base.reactor.listenTCP(int(port), site, interface=host)
+        _LOG.info('listening on {}', self.base.incarnation.address)
 
-    def join_peers(self) -> None:
-        """Begin to take messages of peers."""
-        self.bus.start()
+    def open_client_port(self) -> None:
+        """Open the port for clients, operators and forwarding peers."""
+        host, _, number = self.base.incarnation.address.rpartition(':')
+        port = self.base.reactor.listenTCP(
+            int(number), self.site, interface=host
+        )
+        self.drain.hooks.on_closing.append(port.stopListening)
 
     def state(self) -> dict[str, Any]:
         """Return the dump of this process's state."""
@@ -92,7 +109,11 @@
             'bus': self.bus.describe(),
         }
 
-    def stop(self) -> 'defer.Deferred[None]':
-        """Refuse new work."""
-        self.submissions.draining = True
-        return defer.succeed(None)
+    def stop(self) -> None:
+        """Begin the planned stop; a second call ends it."""
+        self.drain.request_stop()
+
+    def stopped(self, result: drain.DrainResult) -> None:
+        """End the loop once the planned stop has ended."""
+        self.exit_code = drain.exit_code(result)
+        self.base.reactor.stop()
--- a/packages/guavaroad/src/guavaroad/domain/scheduling/admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/scheduling/admission.py
@@ -4,8 +4,9 @@
 import random
 from typing import Final
 
-from guavaroad.domain import codes, jobs, submission
+from guavaroad.domain import codes, jobs
 from guavaroad.domain.scheduling import entries, job_queue
+from guavaroad.domain.submissions import submission
 
 _LEAST_RETRY_S: Final = 0.5
 _MOST_RETRY_S: Final = 60
--- a/packages/guavaroad/src/guavaroad/domain/scheduling/class_queue.py
+++ b/packages/guavaroad/src/guavaroad/domain/scheduling/class_queue.py
@@ -16,7 +16,10 @@
         running: Tasks that run.
     """
 
-    def __init__(self, *, urgency: jobs.Urgency) -> None:
+    def __init__(
+        self, *, urgency: jobs.Urgency, parked: entries.Parked
+    ) -> None:
+        self.parked = parked
         self.urgency = urgency
         self.teams: dict[names.TeamName, team_queue.TeamQueue] = {}
         self.ready: ranking.Ranking[names.TeamName] = ranking.Ranking()
@@ -28,7 +31,7 @@
         """Return the queue of a team."""
         known = self.teams.get(name)
         if known is None:
-            known = team_queue.TeamQueue(team=name)
+            known = team_queue.TeamQueue(team=name, parked=self.parked)
             self.teams[name] = known
         return known
 
--- a/packages/guavaroad/src/guavaroad/domain/scheduling/entries.py
+++ b/packages/guavaroad/src/guavaroad/domain/scheduling/entries.py
@@ -3,7 +3,8 @@
 import collections
 import dataclasses
 
-from guavaroad.domain import jobs, names, submission
+from guavaroad.domain import jobs, names
+from guavaroad.domain.submissions import submission
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,6 +51,10 @@
         return (self.running, self.sequence)
 
 
+# Jobs that wait for the end of their hold.
+Parked = dict[names.SubmissionId, QueuedJob]
+
+
 def size_of(request: jobs.JobRequest) -> int:
     """Return the payload bytes of a job."""
     return sum(len(memoryview(task.payload)) for task in request.tasks)
--- a/packages/guavaroad/src/guavaroad/domain/scheduling/job_queue.py
+++ b/packages/guavaroad/src/guavaroad/domain/scheduling/job_queue.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from guavaroad.domain import names, submission
+from guavaroad.domain import names
 from guavaroad.domain.scheduling import (
     class_queue,
     entries,
@@ -11,6 +11,7 @@
     run_times,
     team_totals,
 )
+from guavaroad.domain.submissions import submission
 
 
 class JobQueue:
@@ -25,13 +26,13 @@
         self.task_count = 0
         self.size_bytes = 0
         self.arrivals = 0
-        self.held: dict[names.SubmissionId, entries.QueuedJob] = {}
+        self.held: entries.Parked = {}
 
     def pool(self, name: names.PoolName) -> pool_queue.PoolQueue:
         """Return the queue of a pool."""
         known = self.pools.get(name)
         if known is None:
-            known = pool_queue.PoolQueue()
+            known = pool_queue.PoolQueue(parked=self.held)
             self.pools[name] = known
         return known
 
@@ -48,14 +49,11 @@
         self.task_count += len(queued.waiting)
         self.size_bytes += queued.size_bytes
         self.teams.add(queued)
-        if job.held:
-            self.held[job.request.submission_id] = queued
         self.class_of(job).add(queued)
 
     def remove(self, submission_id: names.SubmissionId) -> None:
         """Forget a job and its waiting tasks."""
         queued = self.jobs.pop(submission_id, None)
-        self.held.pop(submission_id, None)
         if queued is None:
             return
         self.task_count -= len(queued.waiting)
--- a/packages/guavaroad/src/guavaroad/domain/scheduling/pool_queue.py
+++ b/packages/guavaroad/src/guavaroad/domain/scheduling/pool_queue.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from guavaroad.domain import jobs
-from guavaroad.domain.scheduling import class_queue, policy
+from guavaroad.domain.scheduling import class_queue, entries, policy
 
 
 class PoolQueue:
@@ -14,9 +14,9 @@
     share, but for the reserve, which only classes below their share may use.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, parked: entries.Parked) -> None:
         self.classes = {
-            urgency: class_queue.ClassQueue(urgency=urgency)
+            urgency: class_queue.ClassQueue(urgency=urgency, parked=parked)
             for urgency in policy.CLASS_ORDER
         }
 
--- a/packages/guavaroad/src/guavaroad/domain/scheduling/team_queue.py
+++ b/packages/guavaroad/src/guavaroad/domain/scheduling/team_queue.py
@@ -14,7 +14,8 @@
         running: Tasks that run.
     """
 
-    def __init__(self, *, team: names.TeamName) -> None:
+    def __init__(self, *, team: names.TeamName, parked: entries.Parked) -> None:
+        self.parked = parked
         self.team = team
         self.used_s: float = 0
         self.waiting = 0
@@ -33,14 +34,17 @@
         queued = self.jobs.pop(submission_id)
         self.waiting -= len(queued.waiting)
         self.ready.discard(submission_id)
+        self.parked.pop(submission_id, None)
 
     def place(self, queued: entries.QueuedJob) -> None:
         """Rank a job again after a change."""
         submission_id = queued.job.request.submission_id
         if queued.ready():
             self.ready.place(submission_id, queued.rank())
-        else:
-            self.ready.discard(submission_id)
+            return
+        self.ready.discard(submission_id)
+        if queued.waiting:
+            self.parked[submission_id] = queued
 
     def next_job(self) -> entries.QueuedJob | None:
         """Return the least served job that may start a task, if any."""
@@ -51,7 +55,7 @@
             queued = self.jobs[submission_id]
             if queued.ready():
                 return queued
-            self.ready.discard(submission_id)
+            self.place(queued)
 
     def take(self, queued: entries.QueuedJob) -> names.TaskIndex:
         """Take the next task of a job."""
--- a/packages/guavaroad/src/guavaroad/services/dispatch.py
+++ b/packages/guavaroad/src/guavaroad/services/dispatch.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 from typing import Any, Final, Protocol
 
-from guavaroad.domain import attempts, codes, names, submission
+from guavaroad.domain import attempts, codes, names
 from guavaroad.domain.configuration import document
 from guavaroad.domain.scheduling import admission, entries
 from guavaroad.domain.slots import division, table
+from guavaroad.domain.submissions import submission
 from guavaroad.ports import timers, upstreams
 from guavaroad.services import health, intake
 
@@ -85,8 +86,7 @@
         self.report_if_settled(job)
 
     def release(self, job: submission.Submission) -> None:
-        """Let the tasks of a held job start."""
-        job.held = False
+        """Let the tasks of a job start whose hold has ended."""
         self.queue.changed(job)
         self.schedule_pump()
 
--- a/packages/guavaroad/src/guavaroad/services/intake.py
+++ b/packages/guavaroad/src/guavaroad/services/intake.py
@@ -3,10 +3,11 @@
 import random
 from collections.abc import Callable, Iterator
 
-from guavaroad.domain import codes, jobs, submission
+from guavaroad.domain import codes, jobs
 from guavaroad.domain.configuration import document
 from guavaroad.domain.scheduling import admission, job_queue, policy
 from guavaroad.domain.slots import table
+from guavaroad.domain.submissions import submission
 from guavaroad.ports import timers
 from guavaroad.services import health
 
