--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -4,7 +4,12 @@
 
 import prometheus_client
 
-from guavaroad import composition, settings
+from guavaroad import (
+    composition,
+    composition_dispatch,
+    settings,
+    settings_slots,
+)
 from guavaroad.adapters import (
     client_port,
     http_api,
@@ -35,7 +40,9 @@
             self.base, self.platform
         )
         self.directory = composition.directory_service(self.base, self.platform)
-        self.dispatcher = composition.dispatcher(self.base)
+        self.dispatcher = composition_dispatch.dispatcher(
+            self.base, self.configuration
+        )
         self.submissions = composition.submission_service(
             self.base, self.dispatcher, self.configuration
         )
@@ -52,9 +59,17 @@
 
     def upstreams_changed(self, listed: platform.InstanceList) -> None:
         """Divide the listed upstreams among the listed instances."""
-        self.dispatcher.set_upstreams(
-            dispatch.static_uses(listed.upstreams, len(listed.entries))
-        )
+        own = self.base.incarnation.address
+        addresses = {entry.address for entry in listed.entries} | {own}
+        index = sorted(addresses).index(own)
+        match self.base.settings.slots.mode:
+            case settings_slots.SlotMode.TWO_CHOICES:
+                uses = dispatch.static_uses(listed.upstreams, 0, 1)
+            case _:
+                uses = dispatch.static_uses(
+                    listed.upstreams, index, len(addresses)
+                )
+        self.dispatcher.set_upstreams(uses)
 
     def queued_tasks(self) -> int:
         """Return the tasks that wait here."""
@@ -100,16 +115,8 @@
             'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
             'membership': self.membership.describe(),
+            'dispatch': self.dispatcher.describe(),
             'bus': self.bus.describe(),
-            'queued_tasks': self.dispatcher.queue.task_count,
-            'upstreams': [
-                {
-                    'name': use.upstream.name,
-                    'share': use.share,
-                    'running': use.running,
-                }
-                for use in self.dispatcher.uses.values()
-            ],
         }
 
     def stop(self) -> None:
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -10,7 +10,6 @@
     http_api_site,
     http_client,
     http_platform,
-    http_upstreams,
     nng_peers,
     peer_wire,
     reactor_timers,
@@ -141,18 +140,6 @@
     )
 
 
-def dispatcher(base: Foundation) -> dispatch.Dispatcher:
-    """Return the part that starts queued tasks."""
-    limits = base.settings.limits
-    return dispatch.Dispatcher(
-        port=http_upstreams.HttpUpstreams(
-            client=base.client, attempt_timeout_s=limits.attempt_timeout_s
-        ),
-        timer_service=base.timers,
-        max_queued_tasks=limits.queued_tasks,
-    )
-
-
 def submission_service(
     base: Foundation,
     dispatching: dispatch.Dispatcher,
