--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.ready
 
-.PHONY: setup format lint types scenarios test codes demo bench capacity clean
+.PHONY: setup format lint types scenarios test pages demo bench capacity clean
 
 $(STAMP): pyproject.toml constraints.txt requirements-dev.txt packages/guavaroad/pyproject.toml packages/guavaroadctl/pyproject.toml standins/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -32,8 +32,9 @@
 
 test: lint types scenarios
 
-codes: setup
+pages: setup
 	$(BIN)/python tools/codes_page.py
+	$(BIN)/python tools/settings_table.py
 
 demo: setup
 	$(BIN)/python tools/demo.py
--- a/features/codes/codes.feature
+++ b/features/codes/codes.feature
@@ -1,9 +1,14 @@
 Feature: Result codes keep what their numbers promise
 
-  Scenario: The page of codes agrees with the code
-    When the page of codes is checked
+  Scenario Outline: A page that is written from the code agrees with it
+    When the page written by <tool> is checked
     Then it agrees
 
+    Examples:
+      | tool              |
+      | codes_page.py     |
+      | settings_table.py |
+
   Scenario: A number stands for one code alone
     Then no two result codes share a number
 
--- a/features/steps/codes_steps.py
+++ b/features/steps/codes_steps.py
@@ -21,10 +21,10 @@
     return found
 
 
-@behave.when('the page of codes is checked')
-def when_checked(context):
+@behave.when('the page written by {tool} is checked')
+def when_checked(context, tool):
     context.check = subprocess.run(
-        [sys.executable, str(ROOT / 'tools' / 'codes_page.py'), '--check'],
+        [sys.executable, str(ROOT / 'tools' / tool), '--check'],
         capture_output=True,
         text=True,
         timeout=60,
--- a/features/steps/settings_log_steps.py
+++ b/features/steps/settings_log_steps.py
@@ -12,6 +12,7 @@
 
 from guavaroad import settings
 from guavaroad.adapters import logs
+from guavaroad.ports import logs as port_logs
 
 
 def set_up(context, secrets=(), **chosen):
@@ -58,12 +59,14 @@
 
 @behave.when('part "{part}" says "{sentence}"')
 def when_said(context, part, sentence):
-    logs.logger_of(part).info('{}', sentence)
+    port_logs.logger_of(part).info('{}', sentence)
 
 
 @behave.when('part "{part}" says a text with a line break')
 def when_break_said(context, part):
-    logs.logger_of(part).info('bad job name {}', 'x\n2026 INFO api: forged')
+    port_logs.logger_of(part).info(
+        'bad job name {}', 'x\n2026 INFO api: forged'
+    )
 
 
 @behave.when('a Deferred fails and nobody handles it')
--- a/packages/guavaroad/src/guavaroad/adapters/logs.py
+++ b/packages/guavaroad/src/guavaroad/adapters/logs.py
@@ -12,23 +12,15 @@
 from twisted import logger as twisted_logger
 
 from guavaroad import settings
+from guavaroad.ports import logs
 
 _HIDDEN: Final = '***'
 _BEARER: Final = re.compile(r'(?i)(bearer\s+)\S+')
 _TEXT_TIME: Final = '%Y-%m-%dT%H:%M:%S.%f%z'
 _TWISTED_PART: Final = 'twisted'
 
-
-def logger_of(part: str) -> 'loguru.Logger':
-    """Return the logger of a part.
-
-    Args:
-        part: Prefix of each of its lines, such as `dispatch`.
-
-    Returns:
-        A logger.
-    """
-    return loguru.logger.bind(part=part)
+# Adapters find the loggers here; services go to the port.
+logger_of: Final = logs.logger_of
 
 
 def set_up(chosen: settings.Logs, *, secrets: Iterable[str] = ()) -> None:
@@ -143,13 +135,14 @@
     said = twisted_logger.formatEvent(event)
     if broken is None:
         level = _level_of(event['log_level'])
-        logger_of(_TWISTED_PART).log(level, '{}', said)
+        logs.logger_of(_TWISTED_PART).log(level, '{}', said)
         return
     kind = broken.type.__name__
     reason = f'{kind}: {broken.getErrorMessage()}'
-    loguru.logger.bind(
-        part=_TWISTED_PART, traceback=broken.getTraceback()
-    ).error('{}', f'{said}: {reason}' if said else reason)
+    said_by_twisted = logs.logger_of(_TWISTED_PART).bind(
+        traceback=broken.getTraceback()
+    )
+    said_by_twisted.error('{}', f'{said}: {reason}' if said else reason)
 
 
 def _level_of(level: Any) -> str:
--- a/packages/guavaroad/src/guavaroad/services/drain.py
+++ b/packages/guavaroad/src/guavaroad/services/drain.py
@@ -16,8 +16,7 @@
 from twisted.internet import defer
 from twisted.python import failure
 
-from guavaroad.adapters import logs
-from guavaroad.ports import timers
+from guavaroad.ports import logs, timers
 
 CHECK_PERIOD_S: Final = 0.05
 LAST_CALL_S: Final = 1
--- a/tools/codes_page.py
+++ b/tools/codes_page.py
@@ -29,7 +29,7 @@
 their meaning across releases; a client that meets an unknown number goes by
 its family.
 
-This page is written by `make codes` from the code; do not edit it.
+This page is written by `make pages` from the code; do not edit it.
 """
 
 
@@ -109,7 +109,7 @@
         PAGE.write_text(text)
         return
     if PAGE.read_text() != text:
-        sys.exit('docs/CODES.md does not agree with the code: run make codes')
+        sys.exit('docs/CODES.md does not agree with the code: run make pages')
 
 
 if __name__ == '__main__':
