--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -30,6 +30,7 @@
         self.base = composition.foundation(reactor, chosen)
         self.platform = composition.platform_link(self.base)
         self.bus = composition.peer_bus(self.base)
+        self.membership = composition.membership_service(self.base, self.bus)
         self.configuration = composition.configuration_service(
             self.base, self.platform
         )
@@ -43,8 +44,11 @@
             self.base, self.submissions, self.site
         )
         self.drain.ended.addCallback(self.stopped)
+        self.drain.hooks.on_leaving.append(self.membership.leave)
         self.exit_code = 0
+        self.membership.shown.load = self.queued_tasks
         self.directory.on_change.append(self.upstreams_changed)
+        self.directory.on_change.append(self.membership.list_changed)
 
     def upstreams_changed(self, listed: platform.InstanceList) -> None:
         """Divide the listed upstreams among the listed instances."""
@@ -52,6 +56,10 @@
             dispatch.static_uses(listed.upstreams, len(listed.entries))
         )
 
+    def queued_tasks(self) -> int:
+        """Return the tasks that wait here."""
+        return self.dispatcher.queue.task_count
+
     def client_site(self) -> http_api_site.ApiSite:
         """Return the site of the client port."""
         pages = http_api.Pages(
@@ -70,6 +78,7 @@
         """Open the ports and begin to follow the platform."""
         self.open_client_port()
         self.bus.start()
+        self.membership.start()
         self.configuration.refresh()
         self.directory.refresh()
         _LOG.info('listening on {}', self.base.incarnation.address)
@@ -90,6 +99,7 @@
             'address': incarnation.address,
             'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
+            'membership': self.membership.describe(),
             'bus': self.bus.describe(),
             'queued_tasks': self.dispatcher.queue.task_count,
             'upstreams': [
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -22,6 +22,7 @@
     dispatch,
     drain,
     forwarding,
+    membership,
     outcomes,
     submissions,
 )
@@ -104,6 +105,20 @@
     )
 
 
+def membership_service(
+    base: Foundation, bus: nng_peers.NngBus
+) -> membership.MembershipService:
+    """Return the view of live instances."""
+    chosen = base.settings
+    return membership.MembershipService(
+        own=base.incarnation,
+        peer_address=names.PeerAddress(chosen.instance.peer_address),
+        bus=bus,
+        timer_service=base.timers,
+        seeds=tuple(map(names.PeerAddress, chosen.peers)),
+    )
+
+
 def configuration_service(
     base: Foundation, link: http_platform.PlatformLink
 ) -> configuration.ConfigurationService:
