--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -67,7 +67,7 @@
     context.job = context.world.queue(request)
 
 
-@behave.when('{seconds:g} s pass')
+@behave.when('the tasks run for {seconds:g} s')
 def when_pass(context, seconds):
     context.world.run_for(seconds)
 
--- a/packages/guavaroad/src/guavaroad/adapters/nng_peers.py
+++ b/packages/guavaroad/src/guavaroad/adapters/nng_peers.py
@@ -14,6 +14,7 @@
 import loguru
 import msgspec
 import pynng
+from twisted.internet import error
 
 from guavaroad.adapters import peer_wire
 from guavaroad.domain import identity, names
@@ -29,7 +30,8 @@
 _RECONNECT_MIN_MS: Final = 100
 _RECONNECT_MAX_MS: Final = 1000
 _FRAMES_PER_WAKE: Final = 32
-_LOG_PREFIX: Final = 'bus:'
+_LOG_PREFIX: Final = 'bus'
+_LOG: Final = loguru.logger.bind(part=_LOG_PREFIX)
 # Numbers of NNG's start-up parameters, which pynng does not name, and the
 # operating-system threads that each kind gets.
 _NNG_THREADS: Final = types.MappingProxyType({1: 2, 2: 1, 3: 1, 4: 1})
@@ -65,6 +67,15 @@
         default_factory=collections.Counter
     )
 
+    def as_dict(self) -> dict[str, Any]:
+        """Return the counts for the state dump."""
+        # dataclasses.asdict would count the pairs of the inner counter.
+        counts = {
+            field.name: getattr(self, field.name)
+            for field in dataclasses.fields(self)
+        }
+        return counts | {'rejected': dict(self.rejected)}
+
 
 def limit_threads() -> None:
     """Bound NNG's threads; only the call before the first socket counts."""
@@ -251,11 +262,7 @@
             try:
                 self.handlers[type(message)](peer, message)
             except Exception:  # noqa: BLE001 - one bad message, not the bus
-                loguru.logger.exception(
-                    '{} handler of {} failed',
-                    _LOG_PREFIX,
-                    type(message).__name__,
-                )
+                _LOG.exception('handler of {} failed', type(message).__name__)
 
     def describe(self) -> dict[str, Any]:
         """Return the bus's part of the state dump."""
@@ -267,7 +274,7 @@
                 }
                 for link in self.links.values()
             },
-            'counters': dataclasses.asdict(self.counters),
+            'counters': self.counters.as_dict(),
         }
 
 
@@ -285,7 +292,11 @@
         self.socket = pynng.Pull0(
             recv_buffer_size=_RECEIVE_FRAMES, recv_max_size=_RECEIVE_BYTES
         )
-        self.socket.listen(f'tcp://{address}')
+        try:
+            self.socket.listen(f'tcp://{address}')
+        except pynng.NNGException as broken:
+            host, _, port = address.rpartition(':')
+            raise error.CannotListenError(host, int(port), broken) from broken
         self.descriptor = self.socket.recv_fd
 
     def fileno(self) -> int:
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -8,7 +8,6 @@
     composition,
     composition_dispatch,
     settings,
-    settings_slots,
 )
 from guavaroad.adapters import (
     http_api,
@@ -16,8 +15,7 @@
     http_api_tokens,
     logs,
 )
-from guavaroad.ports import platform
-from guavaroad.services import dispatch, drain
+from guavaroad.services import drain
 
 _LOG: Final = logs.logger_of('app')
 
@@ -34,6 +32,7 @@
         self.base = composition.foundation(reactor, chosen)
         self.platform = composition.platform_link(self.base)
         self.bus = composition.peer_bus(self.base)
+        self.membership = composition.membership_service(self.base, self.bus)
         self.configuration = composition.configuration_service(
             self.base, self.platform
         )
@@ -50,21 +49,17 @@
         )
         self.drain.ended.addCallback(self.stopped)
         self.exit_code = 0
-        self.directory.on_change.append(self.upstreams_changed)
-
-    def upstreams_changed(self, listed: platform.InstanceList) -> None:
-        """Divide the listed upstreams among the listed instances."""
-        own = self.base.incarnation.address
-        addresses = {entry.address for entry in listed.entries} | {own}
-        index = sorted(addresses).index(own)
-        match self.base.settings.slots.mode:
-            case settings_slots.SlotMode.TWO_CHOICES:
-                uses = dispatch.static_uses(listed.upstreams, 0, 1)
-            case _:
-                uses = dispatch.static_uses(
-                    listed.upstreams, index, len(addresses)
-                )
-        self.dispatcher.set_upstreams(uses)
+        self.membership.shown.load = self.queued_tasks
+        self.slots = composition_dispatch.slot_keeper(
+            self.base, self.dispatcher, self.bus, self.membership
+        )
+        self.directory.on_change.append(self.slots.list_changed)
+        self.drain.hooks.on_leaving.append(self.slots.drain)
+        self.directory.on_change.append(self.membership.list_changed)
+
+    def queued_tasks(self) -> int:
+        """Return the tasks that wait here."""
+        return self.dispatcher.queue.task_count
 
     def client_site(self) -> http_api_site.ApiSite:
         """Return the site of the client port."""
@@ -96,6 +91,11 @@
         )
         self.drain.hooks.on_closing.append(port.stopListening)
 
+    def join_peers(self) -> None:
+        """Begin to take messages of peers."""
+        self.bus.start()
+        self.membership.start()
+
     def state(self) -> dict[str, Any]:
         """Return the dump of this process's state."""
         known = self.configuration.in_force
@@ -106,6 +106,8 @@
             'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
             'dispatch': self.dispatcher.describe(),
+            'slots': self.slots.describe(),
+            'membership': self.membership.describe(),
             'bus': self.bus.describe(),
         }
 
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -21,6 +21,7 @@
     dispatch,
     drain,
     forwarding,
+    membership,
     outcomes,
     submissions,
 )
@@ -98,6 +99,22 @@
             epoch=incarnation.epoch,
             peer_address=names.PeerAddress(instance.peer_address),
         ),
+        # Parts collect their messages for ticks of their own.
+        tick_s=0,
+    )
+
+
+def membership_service(
+    base: Foundation, bus: nng_peers.NngBus
+) -> membership.MembershipService:
+    """Return the view of live instances."""
+    chosen = base.settings
+    return membership.MembershipService(
+        own=base.incarnation,
+        peer_address=names.PeerAddress(chosen.instance.peer_address),
+        bus=bus,
+        timer_service=base.timers,
+        seeds=tuple(map(names.PeerAddress, chosen.peers)),
     )
 
 
