--- a/features/support/slot_worlds.py
+++ b/features/support/slot_worlds.py
@@ -8,7 +8,7 @@
 from guavaroad.adapters import reactor_timers
 from guavaroad.domain import attempts, identity, names
 from guavaroad.domain.slots import election
-from guavaroad.ports import peers
+from guavaroad.ports import peers, platform
 from guavaroad.services import allocation, slots
 from guavaroad_standins import memory_bus
 from support import worlds
@@ -127,8 +127,9 @@
 
     def list_upstreams(self):
         """Show every instance the platform's list."""
+        shown = platform.InstanceList(entries=(), upstreams=self.listed)
         for one in self.instances:
-            one.keeper.list_upstreams(self.listed)
+            one.keeper.list_changed(shown)
 
     def view_changed(self):
         """Tell every instance that the view changed."""
