--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -10,6 +10,7 @@
     settings,
 )
 from guavaroad.adapters import (
+    client_port,
     http_api,
     http_api_site,
     http_api_tokens,
@@ -48,6 +49,7 @@
             self.base, self.submissions, self.site
         )
         self.drain.ended.addCallback(self.stopped)
+        self.drain.hooks.on_leaving.append(self.membership.leave)
         self.exit_code = 0
         self.membership.shown.load = self.queued_tasks
         self.slots = composition_dispatch.slot_keeper(
@@ -79,23 +81,18 @@
         """Open the ports and begin to follow the platform."""
         self.open_client_port()
         self.bus.start()
+        self.membership.start()
         self.configuration.refresh()
         self.directory.refresh()
         _LOG.info('listening on {}', self.base.incarnation.address)
 
     def open_client_port(self) -> None:
         """Open the port for clients, operators and forwarding peers."""
-        host, _, number = self.base.incarnation.address.rpartition(':')
-        port = self.base.reactor.listenTCP(
-            int(number), self.site, interface=host
+        port = client_port.listen(
+            self.base.reactor, self.base.settings, self.site
         )
         self.drain.hooks.on_closing.append(port.stopListening)
 
-    def join_peers(self) -> None:
-        """Begin to take messages of peers."""
-        self.bus.start()
-        self.membership.start()
-
     def state(self) -> dict[str, Any]:
         """Return the dump of this process's state."""
         known = self.configuration.in_force
--- a/packages/guavaroad/src/guavaroad/domain/slots/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/slots/allocator.py
@@ -241,5 +241,5 @@
     return (
         orders.yields.keys() != last.yields.keys()
         or orders.recalled != last.recalled
-        or orders.short.keys() != last.short.keys()
+        or bool(orders.short.keys() - last.short.keys())
     )
