--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	$(BIN)/python tools/demo.py
 
 bench: setup
-	$(BIN)/python bench/run.py
+	$(BIN)/python -m bench.slots
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
--- a/packages/guavaroad/src/guavaroad/domain/slots/link.py
+++ b/packages/guavaroad/src/guavaroad/domain/slots/link.py
@@ -18,7 +18,7 @@
         orders: Orders taken.
         granted: Slots granted.
         returned: Slots given back.
-        empty: Orders that granted nothing and said nothing of yields.
+        empty: Orders that told nothing, such as answers to renewals.
     """
 
     reports: int = 0
@@ -77,8 +77,8 @@
         self.short = dict(orders.short)
         self.counters.orders += 1
         self.counters.granted += sum(orders.granted.values())
-        if not (orders.granted or orders.yields or orders.recalled):
-            self.counters.empty += 1
+        told = (orders.granted, orders.yields, orders.recalled, orders.short)
+        self.counters.empty += not any(told)
         return True
 
     def claims(self, upstream: str, pool: str) -> bool:
@@ -121,6 +121,8 @@
         Returns:
             The report, none if the last one still says it all.
         """
+        for satisfied in self.short.keys() - demands.keys():
+            self.short.pop(satisfied)
         told = {pool: coarse(asked) for pool, asked in demands.items()}
         renewal_s = self.lease_s / _RENEWALS_PER_LEASE
         renews = holdings or demands or self.sent_s > self.heard_s
