Find the fleet by its membership, and merge what instances see

Instances that membership holds for dead are not asked, so that a wait for a version does not hang on one that is gone; one that is silent but not dead is still waited for. The table of upstreams shows a state with the number of instances that see it where they differ, and the reason; before, the last one asked overwrote the others, so an ejection by one instance could vanish.

--- a/features/ctl/configuration.feature
+++ b/features/ctl/configuration.feature
@@ -79,6 +79,6 @@
     Then it exits with 0
     And it prints the lines
       """
-      NAME  ZONE  ADDRESS  SLOTS  RUNNING  STATE    REASON
-      up-1  -     -        -      4        ejected  -
+      NAME  ZONE  ADDRESS  SLOTS  RUNNING  STATE                       REASON
+      up-1  -     -        8      4        ejected by 1, serving by 1  5 failures in a row
       """
--- a/features/steps/ctl_steps.py
+++ b/features/steps/ctl_steps.py
@@ -60,21 +60,21 @@
     return path
 
 
-def command(context, words):
+def command(context, words, token='long-secret'):
     addresses = ','.join(context.addresses)
     return [
         sys.executable,
         '-m',
         'guavaroadctl.main',
         f'--address={addresses}',
-        '--token=long-secret',
+        f'--token={token}',
         *words,
     ]
 
 
-def call_ctl(context, *words):
+def call_ctl(context, *words, token='long-secret'):
     done = subprocess.run(
-        command(context, words),
+        command(context, words, token),
         input=getattr(context, 'stdin', ''),
         capture_output=True,
         text=True,
@@ -191,13 +191,23 @@
 
 
 def state_of(context, version):
-    peers = [{'client_address': fake.address} for fake in context.instances]
+    peers = [
+        {'address': fake.address, 'state': 'alive'}
+        for fake in context.instances
+    ]
+    gone = {'address': '127.0.0.1:1', 'state': 'dead'}
     return {
         'instance': {'availability_zone': 'kigali-1'},
         'configuration': {'version': version},
-        'peers': peers,
+        'membership': {'peers': [*peers, gone]},
         'upstreams': [
-            {'name': 'up-1', 'running': 2, 'state': 'ejected', 'list': [1]}
+            {
+                'name': 'up-1',
+                'slots': 8,
+                'running': 2,
+                'state': 'serving' if version == 3 else 'ejected',
+                'reason': '' if version == 3 else '5 failures in a row',
+            }
         ],
     }
 
--- a/packages/guavaroadctl/src/guavaroadctl/instances.py
+++ b/packages/guavaroadctl/src/guavaroadctl/instances.py
@@ -105,7 +105,7 @@
             shown, 'queues.queued_tasks', 'queues.tasks', 'queued_tasks'
         ),
         'epoch': read(shown, 'instance.epoch', 'epoch'),
-        'problem': view.problem,
+        'problem': view.problem or read(shown, 'instance.why_not_ready'),
     }
 
 
--- a/packages/guavaroadctl/src/guavaroadctl/state_reading.py
+++ b/packages/guavaroadctl/src/guavaroadctl/state_reading.py
@@ -1,11 +1,13 @@
 """Reads the state dump, whose sections may be missing or newer."""
 
-from typing import Any
+from typing import Any, Final
 
 from guavaroadctl import endpoints
 
 Record = dict[str, Any]
 
+_DEAD: Final = 'dead'
+
 
 def value_at(state: Any, *paths: str) -> Any:
     """Return the value at the first path that the dump has.
@@ -46,7 +48,7 @@
 
 
 def peer_endpoints(state: Any, scheme: str) -> tuple[endpoints.Endpoint, ...]:
-    """Return the client addresses of the instances that one knows.
+    """Return the client addresses of the live instances that one knows.
 
     Args:
         state: A state dump.
@@ -55,10 +57,11 @@
     Returns:
         Endpoints in the order of the dump.
     """
-    section = value_at(state, 'peers')
-    records = entries(value_at(section, 'known', 'members')) or entries(section)
+    records = entries(value_at(state, 'membership.peers', 'peers'))
     addresses = [
-        value_at(record, 'client_address', 'address') for record in records
+        value_at(record, 'client_address', 'address')
+        for record in records
+        if record.get('state') != _DEAD
     ]
     found = [
         endpoints.parse(f'{scheme}://{address}')
--- a/packages/guavaroadctl/src/guavaroadctl/upstreams.py
+++ b/packages/guavaroadctl/src/guavaroadctl/upstreams.py
@@ -1,5 +1,6 @@
 """Shows the table of upstreams, as the instances see them together."""
 
+import collections
 from collections.abc import Iterable
 from typing import Any, Final
 
@@ -21,7 +22,6 @@
     ('state', 'STATE'),
     ('reason', 'REASON'),
 )
-_SUMMED: Final = frozenset(('running', 'held'))
 
 
 async def listing(means: session.Session) -> reports.Result:
@@ -56,9 +56,7 @@
     return state_reading.entries(listed or section)
 
 
-def merge(
-    records: Iterable[state_reading.Record],
-) -> list[state_reading.Record]:
+def merge(records: Iterable[state_reading.Record]) -> list[dict[str, Any]]:
     """Merge what several instances say of the same upstreams.
 
     Args:
@@ -67,16 +65,38 @@
     Returns:
         One record an upstream, by name.
     """
-    merged: dict[str, state_reading.Record] = {}
+    by_name: dict[str, list[state_reading.Record]] = {}
     for record in records:
-        known = merged.setdefault(str(record.get('name')), {})
-        _add(known, record)
-    return [merged[name] for name in sorted(merged)]
+        by_name.setdefault(str(record.get('name')), []).append(record)
+    return [merge_one(by_name[name]) for name in sorted(by_name)]
 
 
-def _add(known: state_reading.Record, record: state_reading.Record) -> None:
-    for key, entry in record.items():
-        if key in _SUMMED and isinstance(entry, int):
-            known[key] = known.get(key, 0) + entry
-        elif entry or key not in known:
-            known[key] = entry
+def merge_one(records: list[state_reading.Record]) -> state_reading.Record:
+    """Merge what several instances say of one upstream.
+
+    Args:
+        records: One record an instance.
+
+    Returns:
+        The values of the first that has them, running tasks summed, and
+        every state with how many instances see it, where they differ.
+    """
+    merged: state_reading.Record = {}
+    for record in records:
+        told = {key: entry for key, entry in record.items() if entry}
+        merged = told | merged
+    running = [one.get('running') for one in records]
+    merged['running'] = sum(filter(None, running))
+    merged['state'] = states_of(records)
+    return merged
+
+
+def states_of(records: list[state_reading.Record]) -> str:
+    """Return the state, or each state with its number of instances."""
+    counts = collections.Counter(
+        str(record['state']) for record in records if record.get('state')
+    )
+    if len(counts) == 1:
+        return next(iter(counts))
+    ordered = sorted(counts.items())
+    return ', '.join(f'{state} by {count}' for state, count in ordered)
