--- a/features/ctl/configuration.feature
+++ b/features/ctl/configuration.feature
@@ -21,6 +21,18 @@
       + teams.c.weight: 1
       """
 
+  Scenario: A diff against an empty configuration lists each value
+    Given a fake instance
+    And version 0 of the configuration is {}
+    When the patch {"teams": {"a": {}, "b": {"weight": 1}}} is given to "config diff"
+    Then it exits with 0
+    And it prints the lines
+      """
+      base version 0
+      + teams.a: {}
+      + teams.b.weight: 1
+      """
+
   Scenario: A diff of a patch that would not be valid says why
     Given a fake instance
     And version 7 of the configuration is {}
--- a/packages/guavaroadctl/src/guavaroadctl/differences.py
+++ b/packages/guavaroadctl/src/guavaroadctl/differences.py
@@ -49,7 +49,7 @@
     Returns:
         One difference a value; objects are compared key by key.
     """
-    if not _both_objects(before, after):
+    if not _by_key(before, after):
         return _of_values(before, after, '.'.join(path))
     earlier = {} if before is _ABSENT else before
     later = {} if after is _ABSENT else after
@@ -80,10 +80,13 @@
             return f'~ {difference.path}: {before} -> {after}'
 
 
-def _both_objects(before: Any, after: Any) -> bool:
+def _by_key(before: Any, after: Any) -> bool:
     """Return whether to compare by key; an absent value has no keys."""
     given = [one for one in (before, after) if one is not _ABSENT]
-    return all(isinstance(one, dict) and one for one in given)
+    if not all(isinstance(one, dict) for one in given):
+        return False
+    # An empty object that appears or vanishes is itself the difference.
+    return len(given) > 1 or bool(given[0])
 
 
 def _of_values(before: Any, after: Any, path: str) -> tuple[Difference, ...]:
