--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -116,7 +116,7 @@
 
 @behave.when('an upstream answers with {what}')
 def when_odd_answer(context, what):
-    context.outcome = http_upstreams.json_answer(odd_json(what))
+    context.outcome = http_upstreams.json_answer(odd_json(what), leaving=False)
 
 
 @behave.then('the attempt has failed')
