--- a/features/models/submission_model.py
+++ b/features/models/submission_model.py
@@ -18,6 +18,7 @@
     endings,
     lookups,
     messages,
+    packing,
     records,
     submission,
     writer,
@@ -352,7 +353,7 @@
         """Record and perhaps say the end."""
         if not node.job.settled() or node.outcome is not None:
             return
-        node.outcome = records.pack_outcome(node.job.outcome())
+        node.outcome = packing.pack_outcome(node.job.outcome())
         record = records.Record(
             submission_id=SUBMISSION_ID,
             state=records.RecordState.DONE,
@@ -399,7 +400,7 @@
 
 def says_not_run(packed):
     """Return whether an outcome promises that nothing ran."""
-    outcome = records.unpack_outcome(packed)
+    outcome = packing.unpack_outcome(packed)
     match outcome:
         case jobs.JobEnded():
             return codes.facts_of(outcome.code).ran is codes.Ran.NO
--- a/packages/guavaroad/src/guavaroad/adapters/http_api.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api.py
@@ -18,7 +18,12 @@
     http_api_writing,
 )
 from guavaroad.domain import codes
-from guavaroad.services import answers, configuration, submissions
+from guavaroad.services import (
+    answers,
+    configuration,
+    forwarding,
+    submissions,
+)
 
 _MAX_ID_BLOCK: Final = 10_000
 _LOG_PREFIX: Final = 'api:'
@@ -42,7 +47,9 @@
 
     def alive(self, _: http_api_routes.Visit) -> answers.Answer:
         """Answer that the loop turns."""
-        return answers.Answer(status=http.OK, body=b'{"alive":true}')
+        epoch = self.submissions.minter.incarnation.epoch
+        body = msgspec.json.encode({'alive': True, 'epoch': epoch})
+        return answers.Answer(status=http.OK, body=body)
 
     def ready(self, _: http_api_routes.Visit) -> answers.Answer:
         """Answer whether the balancer should send work here."""
@@ -77,6 +84,22 @@
         """Take a submission and answer when it has ended."""
         return self.submissions.submit(http_api_reading.submission_of(visit))
 
+    def show_submission(self, visit: http_api_routes.Visit) -> Any:
+        """Answer how far a submission is."""
+        return self.ask(visit, forwarding.Method.SHOW)
+
+    def cancel_submission(self, visit: http_api_routes.Visit) -> Any:
+        """Cancel a submission."""
+        return self.ask(visit, forwarding.Method.CANCEL)
+
+    def ask(
+        self, visit: http_api_routes.Visit, method: forwarding.Method
+    ) -> Any:
+        """Hand a question about a submission on."""
+        call, forwarded = http_api_reading.question_of(visit, method)
+        team = http_api_reading.team_of(visit)
+        return self.submissions.ask(team, call, forwarded=forwarded)
+
     def show_config(self, _: http_api_routes.Visit) -> answers.Answer:
         """Answer with the configuration in force."""
         return self.configuration.show()
@@ -110,12 +133,15 @@
         The table.
     """
     access = http_api_routes.Access
+    one_path = '/v1/submissions/{id}'
     rows = (
         ('GET', '/healthz', access.OPEN, pages.alive),
         ('GET', '/readyz', access.OPEN, pages.ready),
         ('GET', '/metrics', access.OPEN, pages.metrics),
         ('POST', '/v1/submission-ids', access.CLIENT, pages.mint),
         ('POST', '/v1/jobs/{job}/submissions', access.CLIENT, pages.submit),
+        ('GET', one_path, access.CLIENT, pages.show_submission),
+        ('DELETE', one_path, access.CLIENT, pages.cancel_submission),
         ('GET', '/v1/config', access.OPERATOR, pages.show_config),
         ('PATCH', '/v1/config', access.OPERATOR, pages.patch_config),
         ('GET', '/v1/state', access.OPERATOR, pages.show_state),
--- a/packages/guavaroad/src/guavaroad/adapters/http_api_channel.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api_channel.py
@@ -11,7 +11,9 @@
 from guavaroad.adapters import http_api_writing
 from guavaroad.domain import codes
 from guavaroad.ports import timers
-from guavaroad.services import answers
+from guavaroad.services import (
+    answers,
+)
 
 LINGER_S: Final = 2
 
--- a/packages/guavaroad/src/guavaroad/adapters/http_api_reading.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api_reading.py
@@ -8,7 +8,10 @@
 
 from guavaroad.adapters import http_api_routes
 from guavaroad.domain import names
-from guavaroad.services import forwarding, submissions
+from guavaroad.services import (
+    forwarding,
+    requests,
+)
 
 _NO_TEAM: Final = names.TeamName('')
 _MAX_VERSION_DIGITS: Final = 18
@@ -57,20 +60,36 @@
 
 def submission_of(
     visit: http_api_routes.Visit,
-) -> submissions.SubmitRequest:
+) -> requests.SubmitRequest:
     """Read a submission from its HTTP request."""
     request = visit.request
     forwarded = header_of(request, forwarding.FORWARDED_HEADER.encode())
-    return submissions.SubmitRequest(
+    return requests.SubmitRequest(
         team=team_of(visit),
         job=names.JobName(visit.parts[0]),
         key=text_header(request, b'Idempotency-Key'),
         body=body_of(request),
         authorization=text_header(request, b'Authorization'),
         forwarded=forwarded == b'yes',
+        respond_async='respond-async'
+        in text_header(request, b'Prefer').replace(',', ' ').split(),
     )
 
 
+def question_of(
+    visit: http_api_routes.Visit, method: forwarding.Method
+) -> tuple[forwarding.ForwardedRequest, bool]:
+    """Read a question about a submission, and whether a peer sent it."""
+    request = visit.request
+    forwarded = header_of(request, forwarding.FORWARDED_HEADER.encode())
+    call = forwarding.ForwardedRequest(
+        method=method,
+        submission_id=names.SubmissionId(visit.parts[0]),
+        authorization=text_header(request, b'Authorization'),
+    )
+    return call, forwarded == b'yes'
+
+
 def team_of(visit: http_api_routes.Visit) -> names.TeamName:
     """Return the team of the caller."""
     return visit.caller.team if visit.caller else _NO_TEAM
--- a/packages/guavaroad/src/guavaroad/adapters/http_api_request.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api_request.py
@@ -7,7 +7,9 @@
 from twisted.python import failure
 from twisted.web import server
 
-from guavaroad.services import answers
+from guavaroad.services import (
+    answers,
+)
 
 
 class BoundedRequest(server.Request):
--- a/packages/guavaroad/src/guavaroad/adapters/http_api_writing.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api_writing.py
@@ -4,7 +4,9 @@
 
 from twisted.web import http, server
 
-from guavaroad.services import answers
+from guavaroad.services import (
+    answers,
+)
 
 _CONTENT_TYPE: Final = 'application/json'
 
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -5,10 +5,12 @@
 import prometheus_client
 from twisted.internet import defer
 
-from guavaroad import composition, settings
+from guavaroad import composition, composition_submissions, settings
 from guavaroad.adapters import http_api, http_api_tokens, logs
 from guavaroad.ports import platform
-from guavaroad.services import dispatch
+from guavaroad.services import (
+    dispatch,
+)
 
 _LOG: Final = logs.logger_of('app')
 
@@ -29,8 +31,8 @@
         )
         self.directory = composition.directory_service(self.base, self.platform)
         self.dispatcher = composition.dispatcher(self.base)
-        self.submissions = composition.submission_service(
-            self.base, self.dispatcher, self.configuration
+        self.submissions = composition_submissions.submission_service(
+            self.base, self.platform, self.dispatcher, self.configuration
         )
         self.directory.on_change.append(self.upstreams_changed)
 
@@ -71,6 +73,7 @@
             'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
             'bus': self.bus.describe(),
+            'submissions': self.submissions.describe(),
             'queued_tasks': self.dispatcher.queue.task_count,
             'upstreams': [
                 {
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -20,9 +20,6 @@
     configuration,
     directory,
     dispatch,
-    forwarding,
-    outcomes,
-    submissions,
 )
 
 _EPOCH_BYTES: Final = 6
@@ -135,27 +132,6 @@
     )
 
 
-def submission_service(
-    base: Foundation,
-    dispatching: dispatch.Dispatcher,
-    configured: configuration.ConfigurationService,
-) -> submissions.SubmissionService:
-    """Return the owner of this incarnation's submissions."""
-    limits = base.settings.limits
-    return submissions.SubmissionService(
-        minter=submissions.Minter(
-            incarnation=base.incarnation, timer_service=base.timers
-        ),
-        dispatcher=dispatching,
-        forwarder=forwarding.Forwarder(
-            client=base.client, timeout_s=limits.attempt_timeout_s
-        ),
-        book=outcomes.OutcomeBook(kept_outcomes=limits.kept_outcomes),
-        configuration=configured.current,
-        default_deadline_s=limits.default_deadline_s,
-    )
-
-
 def client_site(
     base: Foundation, api: http_api.ApiResource
 ) -> http_api_site.ApiSite:
--- a/packages/guavaroad/src/guavaroad/domain/codes.py
+++ b/packages/guavaroad/src/guavaroad/domain/codes.py
@@ -59,6 +59,8 @@
     ID_EXPIRED = 4003
     NOT_HANDED_OVER = 4004
     IN_DOUBT = 4005
+    END_NOT_RECORDED = 4006
+    KEY_NOT_CHECKED = 4007
 
     CONFIGURATION = 5000
     PATCH_ACCEPTED = 5001
@@ -219,6 +221,14 @@
         ResultCode.IN_DOUBT: _uncertain(
             503, 'The owner may have started it; nobody else will.', _SAME_ID
         ),
+        ResultCode.END_NOT_RECORDED: _uncertain(
+            503, 'Its end is not in the table yet.', _SAME_ID
+        ),
+        ResultCode.KEY_NOT_CHECKED: _uncertain(
+            503,
+            'The platform is away; this request started nothing.',
+            'A client that never sent this key before may send it again.',
+        ),
         ResultCode.CONFIGURATION: _refused(
             200, 'The configuration in force.', 'None.'
         ),
--- a/packages/guavaroad/src/guavaroad/domain/submissions/records.py
+++ b/packages/guavaroad/src/guavaroad/domain/submissions/records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from guavaroad.domain import codes, identity, jobs, names
+from guavaroad.domain import identity, names
 
 IDS_PER_BUCKET: Final = 64
 _OWNER_FIELDS: Final = 3
@@ -20,24 +20,6 @@
     DONE = 'done'
 
 
-class OutcomeBody(msgspec.Struct, frozen=True, kw_only=True):
-    """Encoded outcome of a submission.
-
-    Attributes:
-        code: Number of the result code.
-        detail: Reason in one sentence.
-        answers: Answers of a complete job, in order.
-        tasks: Index, state and detail of each task of a failed job.
-        retry_after_s: Hint for the client.
-    """
-
-    code: int
-    detail: str = ''
-    answers: tuple[bytes, ...] = ()
-    tasks: tuple[tuple[int, str, str], ...] = ()
-    retry_after_s: float = 0
-
-
 class Record(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One submission in the table.
 
@@ -119,52 +101,33 @@
     )
 
 
+def bucket_of(parsed: identity.ParsedId) -> str:
+    """Return the number of the bucket that an id falls in."""
+    return str(parsed.sequence // IDS_PER_BUCKET)
+
+
+def rows_prefix(owner: str, bucket: str) -> str:
+    """Return the key prefix of the rows of one bucket of an owner."""
+    return f'segments/{owner}/{bucket}.'
+
+
 def bucket_prefix(parsed: identity.ParsedId) -> str:
     """Return the key prefix of the rows that may hold an id."""
-    bucket = parsed.sequence // IDS_PER_BUCKET
-    return f'segments/{owner_text(parsed.owner)}/{bucket}.'
-
-
-def pack_outcome(outcome: jobs.JobOutcome) -> bytes:
-    """Encode an outcome for its record."""
-    match outcome:
-        case jobs.JobCompleted():
-            packed = OutcomeBody(
-                code=codes.ResultCode.COMPLETE.value,
-                answers=tuple(map(bytes, outcome.answers)),
-            )
-        case jobs.JobEnded():
-            packed = OutcomeBody(
-                code=outcome.code.value,
-                detail=outcome.detail,
-                tasks=tuple(
-                    (task.index, task.state.value, task.detail)
-                    for task in outcome.tasks
-                ),
-                retry_after_s=outcome.retry_after_s,
-            )
-    return msgspec.msgpack.encode(packed)
-
-
-def unpack_outcome(packed: bytes) -> jobs.JobOutcome:
-    """Decode an outcome from its record."""
-    body = msgspec.msgpack.decode(packed, type=OutcomeBody)
-    if body.code == codes.ResultCode.COMPLETE.value:
-        return jobs.JobCompleted(answers=tuple(map(msgspec.Raw, body.answers)))
-    return jobs.JobEnded(
-        code=codes.ResultCode(body.code),
-        detail=body.detail,
-        tasks=tuple(map(_report, body.tasks)),
-        retry_after_s=body.retry_after_s,
-    )
+    return rows_prefix(owner_text(parsed.owner), bucket_of(parsed))
+
 
+def in_object(record: Record, key: str) -> Record:
+    """Return the record with its outcome left to an object."""
+    return msgspec.structs.replace(record, outcome=b'', object_key=key)
 
-def _report(packed: tuple[int, str, str]) -> jobs.TaskReport:
-    index, state_text, detail = packed
-    state = jobs.TaskState(state_text)
-    return jobs.TaskReport(
-        index=names.TaskIndex(index),
-        state=state,
-        ran=jobs.ran_of(state),
-        detail=detail,
+
+def with_work(record: Record, *, body: bytes, deadline_wall_s: float) -> Record:
+    """Return the record with what a successor needs to run it."""
+    return msgspec.structs.replace(
+        record, body=body, deadline_wall_s=deadline_wall_s
     )
+
+
+def ended(record: Record, outcome: bytes) -> Record:
+    """Return the record with its encoded outcome."""
+    return msgspec.structs.replace(record, outcome=outcome)
--- a/packages/guavaroad/src/guavaroad/domain/submissions/segments.py
+++ b/packages/guavaroad/src/guavaroad/domain/submissions/segments.py
@@ -66,6 +66,7 @@
         entries: Records by submission id.
         adopting: Whether it is another holder's until the next write.
         single: Whether the row must be new and holds one record only.
+        index: Whether the row lists buckets and is kept for good.
     """
 
     key: str
@@ -75,6 +76,7 @@
     )
     adopting: bool = False
     single: bool = False
+    index: bool = False
 
     def dirty(self) -> bool:
         """Return whether any record is to be written."""
@@ -90,7 +92,7 @@
 
     def finished(self) -> bool:
         """Return whether the row needs no further write."""
-        return not self.adopting and all(
+        return not (self.adopting or self.index) and all(
             entry.finished() for entry in self.entries.values()
         )
 
--- a/packages/guavaroad/src/guavaroad/domain/submissions/writer.py
+++ b/packages/guavaroad/src/guavaroad/domain/submissions/writer.py
@@ -16,13 +16,12 @@
     holds,
     messages,
     records,
+    segment_book,
     segments,
     settlement,
 )
 
 MAX_ROWS: Final = 8
-MAX_SEGMENT_BYTES: Final = 32_768
-KEPT_SEGMENTS: Final = 64
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -40,13 +39,11 @@
     maybe: bool = False
 
 
-class GroupWriter:
+class GroupWriter(segment_book.SegmentBook):
     """Keeps this instance's records and brings the table up to date.
 
     Attributes:
         me: This incarnation, as `records.owner_text` writes it.
-        segments: Rows that are kept for writing, by key.
-        places: Key of the row of each submission.
         flight: Transaction without a known outcome, if there is one.
     """
 
@@ -60,10 +57,7 @@
         self.me = me
         self.operation_ids = operation_ids
         self.max_rows = max_rows
-        self.segments: dict[str, segments.OpenSegment] = {}
-        self.places: dict[names.SubmissionId, str] = {}
-        self.open_keys: dict[str, str] = {}
-        self.part_count = 0
+        super().__init__()
         self.flight: Flight | None = None
 
     def put(
@@ -104,6 +98,32 @@
         self.segments[key] = segment
         self.places[record.submission_id] = key
 
+    def note(self, key: str, bucket: str) -> None:
+        """List a bucket in the index row of this owner.
+
+        Args:
+            key: Key of the index row.
+            bucket: Bucket with `queued` records.
+        """
+        segment = self.segments.setdefault(
+            key, segments.OpenSegment(key=key, index=True)
+        )
+        entry_id = names.SubmissionId(bucket)
+        if entry_id not in segment.entries:
+            record = records.Record(
+                submission_id=entry_id,
+                state=records.RecordState.QUEUED,
+                owner=self.me,
+            )
+            segment.entries[entry_id] = segments.Entry(record=record)
+
+    def backlog(self) -> tuple[bool, bool]:
+        """Return whether a write is awaited, and whether any is to be sent."""
+        kept = tuple(self.segments.values())
+        urgent = any(map(segments.OpenSegment.urgent, kept))
+        dirty = any(map(segments.OpenSegment.dirty, kept))
+        return urgent, dirty or self.flight is not None
+
     def adopt(self, row: messages.FoundRow) -> None:
         """Ask to take over the row of a lost holder."""
         if row.key in self.segments:
@@ -114,12 +134,6 @@
             if entry.hold is not None:
                 self.places[submission_id] = row.key
 
-    def find(self, submission_id: names.SubmissionId) -> segments.Entry | None:
-        """Return the entry of a submission, if its record is kept here."""
-        key = self.places.get(submission_id)
-        segment = self.segments.get(key) if key else None
-        return segment.entries.get(submission_id) if segment else None
-
     def claim(self, submission_id: names.SubmissionId) -> None:
         """Ask for the change to `started`."""
         entry = self.find(submission_id)
@@ -165,7 +179,7 @@
         """
         if self.flight is not None:
             return self.flight.transaction
-        chosen = self.choose()
+        chosen = self.choose(self.max_rows)
         if not chosen:
             return None
         operation_id = self.operation_ids()
@@ -202,15 +216,6 @@
         self.trim()
         return events
 
-    def choose(self) -> list[segments.OpenSegment]:
-        """Return the rows to write next, the awaited ones first."""
-        for segment in self.segments.values():
-            for gone in segment.drop_withdrawn():
-                self.places.pop(gone, None)
-        dirty = [one for one in self.segments.values() if one.dirty()]
-        dirty.sort(key=lambda one: not one.urgent())
-        return dirty[: self.max_rows]
-
     def change_of(
         self, segment: segments.OpenSegment, operation_id: str
     ) -> messages.RowChange:
@@ -224,34 +229,3 @@
                 records=segment.snapshot(),
             ),
         )
-
-    def segment_for(self, prefix: str) -> segments.OpenSegment:
-        """Return the row of the prefix that still has room."""
-        segment = self.segments.get(self.open_keys.get(prefix, ''))
-        if segment is None or segment.size() > MAX_SEGMENT_BYTES:
-            self.part_count += 1
-            segment = segments.OpenSegment(key=f'{prefix}{self.part_count}')
-            self.segments[segment.key] = segment
-            self.open_keys[prefix] = segment.key
-        return segment
-
-    def forget(self, key: str) -> None:
-        """Stop keeping a row."""
-        segment = self.segments.pop(key, None)
-        if segment is None:
-            return
-        for submission_id in segment.entries:
-            if self.places.get(submission_id) == key:
-                self.places.pop(submission_id)
-        prefix = settlement.prefix_of(key)
-        if self.open_keys.get(prefix) == key:
-            self.open_keys.pop(prefix)
-
-    def trim(self) -> None:
-        """Stop keeping the oldest rows that need no further write."""
-        excess = len(self.segments) - KEPT_SEGMENTS
-        if excess <= 0:
-            return
-        finished = [key for key, one in self.segments.items() if one.finished()]
-        for key in finished[:excess]:
-            self.forget(key)
--- a/packages/guavaroad/src/guavaroad/services/configuration.py
+++ b/packages/guavaroad/src/guavaroad/services/configuration.py
@@ -11,7 +11,9 @@
 from guavaroad.domain import codes, names
 from guavaroad.domain.configuration import document, merge_patch
 from guavaroad.ports import platform, timers
-from guavaroad.services import answers
+from guavaroad.services import (
+    answers,
+)
 
 HEAD_KEY: Final = 'config/head'
 _OPERATION_BYTES: Final = 8
--- a/packages/guavaroad/src/guavaroad/services/forwarding.py
+++ b/packages/guavaroad/src/guavaroad/services/forwarding.py
@@ -1,76 +1,192 @@
 """Forwards a request to the owner of its submission id over HTTP."""
 
 import dataclasses
-from typing import Final
+import enum
+from typing import Any, Final
 from urllib import parse as urls
 
+import msgspec
 from twisted.internet import defer
 
 from guavaroad.adapters import http_client
-from guavaroad.domain import codes, identity, names
-from guavaroad.services import answers
+from guavaroad.domain import identity, names
+from guavaroad.ports import timers
+from guavaroad.services import (
+    answers,
+)
 
 FORWARDED_HEADER: Final = 'Guavaroad-Forwarded'
+PROBE_PERIOD_S: Final = 0.7
+PROBE_TIMEOUT_S: Final = 1.5
+FAILED_PROBES: Final = 3
+
+
+class Method(enum.Enum):
+    """What is asked of a submission."""
+
+    SUBMIT = 'POST'
+    SHOW = 'GET'
+    CANCEL = 'DELETE'
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ForwardedRequest:
-    """A submission on its way to its owner."""
+    """A request about a submission, on its way to the owner.
 
+    Attributes:
+        method: What is asked.
+        submission_id: Id of the submission.
+        authorization: Header of the client.
+        job: Job name, for a submission.
+        body: Body, for a submission.
+        digest: Hash of the request, for a submission.
+    """
+
+    method: Method
     submission_id: names.SubmissionId
-    job: names.JobName
-    body: bytes
     authorization: str
+    job: names.JobName = dataclasses.field(default=names.JobName(''))
+    body: bytes = b''
+    digest: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Unreached:
+    """No answer came.
+
+    Attributes:
+        sent: Whether the request may have reached the owner.
+        detail: What broke.
+    """
+
+    sent: bool
+    detail: str
+
+
+class AliveBody(msgspec.Struct, frozen=True, kw_only=True):
+    """What an instance says of itself."""
+
+    epoch: str = ''
 
 
 class Forwarder:
     """Relays requests and answers between instances."""
 
     def __init__(
-        self, *, client: http_client.HttpClient, timeout_s: float
+        self,
+        *,
+        client: http_client.HttpClient,
+        timer_service: timers.TimerService,
+        timeout_s: float,
     ) -> None:
         self.client = client
+        self.timers = timer_service
         self.timeout_s = timeout_s
 
-    def submit(
+    def send(
         self, owner: identity.Incarnation, request: ForwardedRequest
-    ) -> 'defer.Deferred[answers.Answer]':
-        """Send a submission to its owner and relay the answer."""
-        return defer.ensureDeferred(self.relay(owner, request))
+    ) -> 'defer.Deferred[answers.Answer | Unreached]':
+        """Send a request to an owner and relay the answer.
+
+        The wait ends early when the owner stops answering probes.
+        """
+        exchange = defer.ensureDeferred(
+            self.client.exchange(self.call_of(owner, request))
+        )
+        watch = Watch(forwarder=self, owner=owner, exchange=exchange)
+        return exchange.addCallback(watch.ended)
 
-    async def relay(
+    def call_of(
         self, owner: identity.Incarnation, request: ForwardedRequest
-    ) -> answers.Answer:
-        """Forward and read the exchange."""
-        job = urls.quote(request.job, safe='')
+    ) -> http_client.Call:
+        """Return the HTTP request."""
+        return http_client.Call(
+            method=request.method.value,
+            url=f'http://{owner.address}{path_of(request)}',
+            headers={
+                FORWARDED_HEADER: 'yes',
+                'Authorization': request.authorization,
+                'Idempotency-Key': request.submission_id,
+                'Content-Type': 'application/json',
+            },
+            body=request.body,
+            timeout_s=self.timeout_s,
+        )
+
+    async def probe(self, owner: identity.Incarnation) -> bool | None:
+        """Ask whether an incarnation still runs.
+
+        Args:
+            owner: The incarnation.
+
+        Returns:
+            Whether it does; none if nothing answered.
+        """
         exchange = await self.client.exchange(
             http_client.Call(
-                method='POST',
-                url=f'http://{owner.address}/v1/jobs/{job}/submissions',
-                headers={
-                    FORWARDED_HEADER: 'yes',
-                    'Authorization': request.authorization,
-                    'Idempotency-Key': request.submission_id,
-                    'Content-Type': 'application/json',
-                },
-                body=request.body,
-                timeout_s=self.timeout_s,
+                method='GET',
+                url=f'http://{owner.address}/healthz',
+                timeout_s=PROBE_TIMEOUT_S,
             )
         )
+        match exchange:
+            case http_client.Reply():
+                body = msgspec.json.decode(exchange.body, type=AliveBody)
+                return body.epoch == owner.epoch
+        return None
+
+
+class Watch:
+    """Ends a wait for an owner that stops answering probes."""
+
+    def __init__(
+        self,
+        *,
+        forwarder: Forwarder,
+        owner: identity.Incarnation,
+        exchange: 'defer.Deferred[http_client.Exchange]',
+    ) -> None:
+        self.forwarder = forwarder
+        self.owner = owner
+        self.exchange = exchange
+        self.failed = 0
+        self.probing = False
+        self.timer = forwarder.timers.subscribe(PROBE_PERIOD_S, self.probe)
+
+    def probe(self) -> None:
+        """Probe unless a probe is on its way."""
+        if not self.probing:
+            self.probing = True
+            pending = defer.ensureDeferred(self.forwarder.probe(self.owner))
+            pending.addBoth(self.probed)
+
+    def probed(self, alive: Any) -> None:
+        """Count failures in a row."""
+        self.probing = False
+        self.failed = 0 if alive is True else self.failed + 1
+        if self.failed >= FAILED_PROBES:
+            self.timer.cancel()
+            self.exchange.cancel()
+
+    def ended(
+        self, exchange: http_client.Exchange
+    ) -> answers.Answer | Unreached:
+        """Read the exchange."""
+        self.timer.cancel()
         match exchange:
             case http_client.Reply():
                 return answers.Answer(
                     status=exchange.status, body=exchange.body
                 )
             case http_client.NotSent():
-                return answers.plain(
-                    codes.ResultCode.NOT_HANDED_OVER,
-                    detail=exchange.detail,
-                    submission_id=request.submission_id,
-                )
-            case http_client.NoReply():
-                return answers.plain(
-                    codes.ResultCode.OWNER_UNREACHABLE,
-                    detail=exchange.detail,
-                    submission_id=request.submission_id,
-                )
+                return Unreached(sent=False, detail=exchange.detail)
+        return Unreached(sent=True, detail=exchange.detail)
+
+
+def path_of(request: ForwardedRequest) -> str:
+    """Return the path of a forwarded request."""
+    if request.method is Method.SUBMIT:
+        job = urls.quote(request.job, safe='')
+        return f'/v1/jobs/{job}/submissions'
+    submission_id = urls.quote(request.submission_id, safe='')
+    return f'/v1/submissions/{submission_id}'
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/services/owning/__init__.py
@@ -0,0 +1,1 @@
+"""Owner of submissions: ids, records, claims, ends and answers."""
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/services/owning/claims.py
@@ -0,0 +1,84 @@
+"""Claims recorded submissions ahead, as they near the head of the queue."""
+
+from typing import Any, Final
+
+from guavaroad.domain import jobs, names
+from guavaroad.domain.submissions import submission
+from guavaroad.ports import timers
+from guavaroad.services import dispatch
+from guavaroad.services import records as record_service
+
+CLAIM_PERIOD_S: Final = 0.1
+CLAIM_AHEAD_S: Final = 0.5
+TYPICAL_TASK_S: Final = 0.2
+
+
+class ClaimService:
+    """Keeps enough claimed tasks for the slots until the next claims.
+
+    Attributes:
+        planned: Queued submissions without a claim, oldest first.
+        asked: Submissions whose claim is on its way.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatcher: dispatch.Dispatcher,
+        recorder: record_service.RecordService,
+        timer_service: timers.TimerService,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.recorder = recorder
+        self.planned: dict[names.SubmissionId, submission.Submission] = {}
+        self.asked: dict[names.SubmissionId, submission.Submission] = {}
+        timer_service.subscribe(CLAIM_PERIOD_S, self.claim_ahead)
+
+    def expected_wait_s(self, request: jobs.JobRequest) -> float:
+        """Return the wait expected before the last start of a job."""
+        ahead = self.dispatcher.queue.task_count + len(request.tasks)
+        return ahead * TYPICAL_TASK_S / self.slot_count()
+
+    def slot_count(self) -> int:
+        """Return the slots that this instance may fill."""
+        shares = [use.share for use in self.dispatcher.uses.values()]
+        return max(1, sum(shares))
+
+    def plan(self, job: submission.Submission) -> None:
+        """Take a submission whose `queued` record is written."""
+        self.planned[job.request.submission_id] = job
+        self.claim_ahead()
+
+    def opened(self, submission_id: names.SubmissionId) -> None:
+        """Start what the written claim lets start."""
+        self.forget(submission_id)
+        self.dispatcher.pump()
+
+    def forget(self, submission_id: names.SubmissionId) -> None:
+        """Drop a submission that ended or was claimed."""
+        self.planned.pop(submission_id, None)
+        self.asked.pop(submission_id, None)
+
+    def claim_ahead(self) -> None:
+        """Claim the oldest submissions while the slots may run dry."""
+        if not self.planned:
+            return
+        wanted = self.slot_count() * (1 + CLAIM_AHEAD_S / TYPICAL_TASK_S)
+        ready = self.dispatcher.queue.task_count - task_count(self.planned)
+        for submission_id, job in list(self.planned.items()):
+            if ready >= wanted:
+                return
+            ready += len(job.slots)
+            self.asked[submission_id] = self.planned.pop(submission_id)
+            self.recorder.claim(submission_id)
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        return {'planned': len(self.planned), 'asked': len(self.asked)}
+
+
+def task_count(
+    planned: dict[names.SubmissionId, submission.Submission],
+) -> int:
+    """Return the tasks of submissions that wait for their claim."""
+    return sum(len(job.slots) for job in planned.values())
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/services/owning/ownership.py
@@ -0,0 +1,270 @@
+"""Runs the submissions that this incarnation owns, to their recorded end."""
+
+import dataclasses
+from typing import Any, Final
+
+from guavaroad.domain import codes, identity, jobs, names
+from guavaroad.domain.submissions import (
+    endings,
+    holds,
+    packing,
+    records,
+    submission,
+)
+from guavaroad.ports import timers
+from guavaroad.services import (
+    dispatch,
+    outcomes,
+    requests,
+)
+from guavaroad.services import records as record_service
+from guavaroad.services.owning import claims
+
+RECORD_THRESHOLD_S: Final = 1
+END_GRACE_S: Final = 2
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Counters:
+    """Submissions by what became of them."""
+
+    taken: int = 0
+    recorded: int = 0
+    adopted: int = 0
+    moved: int = 0
+
+
+class Ownership:
+    """Owner of submissions: records, claims, starts and ends.
+
+    Attributes:
+        book: Every submission known here.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: str,
+        book: outcomes.OutcomeBook,
+        dispatcher: dispatch.Dispatcher,
+        recorder: record_service.RecordService,
+        checker: requests.RequestChecker,
+        timer_service: timers.TimerService,
+    ) -> None:
+        self.me = me
+        self.book = book
+        self.dispatcher = dispatcher
+        self.recorder = recorder
+        self.checker = checker
+        self.timers = timer_service
+        self.claims = claims.ClaimService(
+            dispatcher=dispatcher,
+            recorder=recorder,
+            timer_service=timer_service,
+        )
+        self.counters = Counters()
+
+    def refuse(
+        self,
+        parsed: identity.ParsedId,
+        request: requests.SubmitRequest,
+        ending: jobs.JobEnded,
+    ) -> outcomes.Entry:
+        """Refuse a submission for good: its id never runs.
+
+        A copy of the request that comes later, over another instance, gets
+        the same refusal; only so is "not run" true of the id.
+        """
+        submission_id = identity.format_id(parsed)
+        entry = self.book.open(submission_id, self.entry_of(parsed, request))
+        self.book.close(submission_id, ending)
+        return entry
+
+    def run(
+        self,
+        parsed: identity.ParsedId,
+        request: requests.SubmitRequest,
+        checked: jobs.JobRequest,
+    ) -> outcomes.Entry:
+        """Queue a checked submission, recorded where that pays.
+
+        Args:
+            parsed: Its id, minted by this incarnation.
+            request: The request.
+            checked: The job.
+
+        Returns:
+            Its entry in the book.
+        """
+        self.counters.taken += 1
+        entry = self.book.open(
+            checked.submission_id, self.entry_of(parsed, request)
+        )
+        job = submission.Submission(request=checked)
+        entry.job = job
+        if request.respond_async or self.worth_recording(checked):
+            self.record(parsed, request, job)
+        self.dispatcher.enqueue(job, self.settle)
+        return entry
+
+    def run_inserted(
+        self,
+        parsed: identity.ParsedId,
+        request: requests.SubmitRequest,
+        checked: jobs.JobRequest | jobs.JobEnded,
+        row_key: str,
+    ) -> outcomes.Entry:
+        """Queue a submission that starts once its own row is inserted."""
+        submission_id = identity.format_id(parsed)
+        entry = self.book.open(submission_id, self.entry_of(parsed, request))
+        record = records.Record(
+            submission_id=submission_id,
+            state=records.RecordState.STARTED,
+            owner=self.me,
+            digest=request.digest(),
+            job=request.job,
+        )
+        hold = holds.Hold()
+        self.recorder.insert(row_key, record, hold)
+        self.begin(entry, parsed, record, checked, hold)
+        return entry
+
+    def begin(
+        self,
+        entry: outcomes.Entry,
+        parsed: identity.ParsedId,
+        record: records.Record,
+        checked: jobs.JobRequest | jobs.JobEnded,
+        hold: holds.Hold,
+    ) -> submission.Submission:
+        """Queue a recorded submission, or end it if it is refused."""
+        match checked:
+            case jobs.JobRequest():
+                job = submission.Submission(request=checked, hold=hold)
+                entry.job = job
+                self.dispatcher.enqueue(job, self.settle)
+            case jobs.JobEnded():
+                request = unchecked(record, parsed)
+                job = submission.Submission(request=request, hold=hold)
+                entry.job = job
+                job.end(checked.code, checked.detail)
+                self.settle(job)
+        return job
+
+    def worth_recording(self, checked: jobs.JobRequest) -> bool:
+        """Return whether a successor could finish it if this owner died."""
+        if not self.recorder.available:
+            return False
+        return self.claims.expected_wait_s(checked) > RECORD_THRESHOLD_S
+
+    def record(
+        self,
+        parsed: identity.ParsedId,
+        request: requests.SubmitRequest,
+        job: submission.Submission,
+    ) -> None:
+        """Ask for the `queued` record."""
+        self.counters.recorded += 1
+        remaining_s = job.request.deadline_s - self.timers.now()
+        record = self.record_of(job.request, records.RecordState.QUEUED)
+        self.recorder.queue(
+            parsed,
+            records.with_work(
+                record,
+                body=request.body,
+                deadline_wall_s=self.timers.wall() + remaining_s,
+            ),
+            hold=job.hold,
+            required=request.respond_async,
+        )
+
+    def record_of(
+        self, checked: jobs.JobRequest, state: records.RecordState
+    ) -> records.Record:
+        """Return the record of a job without its work."""
+        return records.Record(
+            submission_id=checked.submission_id,
+            state=state,
+            owner=self.me,
+            digest=checked.digest,
+            job=checked.job,
+        )
+
+    def entry_of(
+        self, parsed: identity.ParsedId, request: requests.SubmitRequest
+    ) -> outcomes.Entry:
+        """Return a new entry of the book."""
+        minted_here = records.owner_text(parsed.owner) == self.me
+        return outcomes.Entry(
+            digest=request.digest(),
+            sequence=parsed.sequence if minted_here else 0,
+            request=request,
+        )
+
+    def settle(self, job: submission.Submission) -> None:
+        """Record the end of a submission, and say it when that is safe."""
+        submission_id = job.request.submission_id
+        self.claims.forget(submission_id)
+        entry = self.book.find(submission_id)
+        parsed = identity.parse_id(submission_id)
+        match parsed:
+            case identity.ParsedId() if entry is not None:
+                self.record_end(parsed, entry, job)
+
+    def record_end(
+        self,
+        parsed: identity.ParsedId,
+        entry: outcomes.Entry,
+        job: submission.Submission,
+    ) -> None:
+        """Ask for the record of an end and decide when it is said."""
+        submission_id = job.request.submission_id
+        outcome = job.outcome()
+        record = records.ended(
+            self.record_of(job.request, records.RecordState.DONE),
+            packing.pack_outcome(outcome),
+        )
+        saying = self.recorder.end(parsed, record, job.hold)
+        match saying:
+            case endings.Saying.NOW:
+                self.book.close(submission_id, outcome)
+            case endings.Saying.AFTER_ROW:
+                entry.ending = outcome
+                self.timers.call_after(
+                    END_GRACE_S, lambda: self.tell_unknown(entry)
+                )
+
+    def tell_unknown(self, entry: outcomes.Entry) -> None:
+        """Answer those who wait for an end that the row does not have."""
+        if entry.outcome is None and entry.moved is None:
+            code = codes.ResultCode.END_NOT_RECORDED
+            detail = codes.facts_of(code).meaning
+            entry.tell(jobs.JobEnded(code=code, detail=detail))
+
+    def cancel(self, job: submission.Submission) -> None:
+        """Drop what has not started; what runs is let end."""
+        self.dispatcher.give_up(job, codes.ResultCode.CANCELLED)
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        return {
+            'book': self.book.describe(),
+            'claims': self.claims.describe(),
+            **dataclasses.asdict(self.counters),
+        }
+
+
+def unchecked(
+    record: records.Record, parsed: identity.ParsedId
+) -> jobs.JobRequest:
+    """Return a job that can only be refused, without its tasks."""
+    return jobs.JobRequest(
+        submission_id=record.submission_id,
+        team=parsed.team,
+        job=names.JobName(record.job),
+        urgency=jobs.Urgency.LOW,
+        pool=names.PoolName(''),
+        tasks=(),
+        deadline_s=0,
+        digest=record.digest,
+    )
--- a/packages/guavaroad/src/guavaroad/services/submissions.py
+++ b/packages/guavaroad/src/guavaroad/services/submissions.py
@@ -1,107 +1,62 @@
-"""Takes submissions: mints ids, runs owned ones, forwards the others."""
+"""Takes requests about submissions and finds who answers them."""
 
-import dataclasses
-from collections.abc import Callable
-from typing import Final
+from typing import Any
 
-import msgspec
-import xxhash
 from twisted.internet import defer
 
 from guavaroad.domain import codes, identity, jobs, names
-from guavaroad.domain.configuration import document
-from guavaroad.domain.submissions import submission
-from guavaroad.ports import timers
-from guavaroad.services import answers, dispatch, forwarding, outcomes
-
-_MS: Final = 1000
-MAX_DEADLINE_MS: Final = 86_400_000
-
-
-class TaskBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One task of a request body."""
-
-    payload: msgspec.Raw
-    declared_ms: int = 0
-
-
-class SubmitBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Body of a submission request."""
-
-    tasks: list[TaskBody]
-    deadline_ms: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SubmitRequest:
-    """A submission as it came in.
-
-    Attributes:
-        team: Team of the token.
-        job: Job name of the path.
-        key: Value of Idempotency-Key, empty if there was none.
-        body: Request body.
-        authorization: Value to send on when the request is forwarded.
-        forwarded: Whether a peer sent it.
-    """
-
-    team: names.TeamName
-    job: names.JobName
-    key: str
-    body: bytes
-    authorization: str
-    forwarded: bool
-
+from guavaroad.domain.submissions import records
+from guavaroad.services import (
+    answers,
+    forwarding,
+    outcomes,
+    requests,
+    resolving,
+    takeover,
+)
+from guavaroad.services.owning import (
+    keyed,
+    local_answers,
+    minting,
+    ownership,
+    record_events,
+)
 
 Pending = defer.Deferred[answers.Answer]
 
 
-class Minter:
-    """Mints the submission ids of one incarnation."""
-
-    def __init__(
-        self,
-        *,
-        incarnation: identity.Incarnation,
-        timer_service: timers.TimerService,
-    ) -> None:
-        self.incarnation = incarnation
-        self.timers = timer_service
-        self.last_sequence = 0
-
-    def mint(self, team: names.TeamName) -> names.SubmissionId:
-        """Return a fresh id for a team."""
-        self.last_sequence += 1
-        return identity.format_id(
-            identity.ParsedId(
-                owner=self.incarnation,
-                sequence=self.last_sequence,
-                minted_s=int(self.timers.wall()),
-                team=team,
-            )
-        )
-
-
 class SubmissionService:
-    """Owner of the submissions that carry this incarnation's ids."""
+    """Entry of every request about submissions."""
 
     def __init__(
         self,
         *,
-        minter: Minter,
-        dispatcher: dispatch.Dispatcher,
+        minter: minting.Minter,
+        owned: ownership.Ownership,
         forwarder: forwarding.Forwarder,
-        book: outcomes.OutcomeBook,
-        configuration: Callable[[], document.Document | None],
-        default_deadline_s: float,
+        taker: takeover.TakeoverService,
     ) -> None:
         self.minter = minter
-        self.dispatcher = dispatcher
-        self.forwarder = forwarder
-        self.book = book
-        self.configuration = configuration
-        self.default_deadline_s = default_deadline_s
+        self.owned = owned
+        self.book = owned.book
         self.draining = False
+        self.answers = local_answers.LocalAnswers(minter=minter, owned=owned)
+        self.resolver = resolving.Resolver(
+            me=owned.me,
+            forwarder=forwarder,
+            taker=taker,
+            local=self.answers.local,
+            fresh_id=lambda parsed: minter.mint(parsed.team),
+        )
+        self.keys = keyed.KeyedSubmissions(
+            minter=minter, owned=owned, relay=self.relay
+        )
+        self.events = record_events.RecordEvents(owned=owned)
+        self.events.moved.append(self.moved)
+
+    def refuse_new(self) -> None:
+        """Take no new submission; known ones go on."""
+        self.draining = True
 
     def mint_block(self, team: names.TeamName, count: int) -> answers.Answer:
         """Answer a request for fresh ids."""
@@ -110,7 +65,7 @@
             codes.ResultCode.IDS_MINTED, extra={'submission_ids': minted}
         )
 
-    def submit(self, request: SubmitRequest) -> Pending:
+    def submit(self, request: requests.SubmitRequest) -> Pending:
         """Take a submission, or forward it to its owner.
 
         Args:
@@ -120,187 +75,168 @@
             Fires with the answer when the job has ended.
         """
         if not request.key:
-            return self.take(self.minter.mint(request.team), request)
+            return self.take(self.minter.mint_parsed(request.team), request)
+        if not identity.looks_minted(request.key):
+            ending = (
+                jobs.JobEnded(code=codes.ResultCode.DRAINING)
+                if self.draining
+                else None
+            )
+            return self.keys.submit(request, self.answers.join, ending)
         parsed = identity.parse_id(request.key)
+        refusal = refusal_of(parsed, request.team)
         match parsed:
-            case identity.BadId():
-                return self.refuse(
-                    codes.ResultCode.BAD_SUBMISSION_ID, parsed.reason
-                )
-        if parsed.team != request.team:
-            return self.refuse(
-                codes.ResultCode.FORBIDDEN, 'the id is of another team'
-            )
-        submission_id = names.SubmissionId(request.key)
-        if parsed.owner == self.minter.incarnation:
-            return self.take(submission_id, request)
-        return self.forward(parsed, request)
+            case identity.ParsedId() if refusal is None:
+                return self.submit_id(parsed, request)
+        return local_answers.refuse(
+            refusal or codes.ResultCode.BAD_SUBMISSION_ID,
+            submission_id=request.key,
+        )
 
-    def forward(
-        self, parsed: identity.ParsedId, request: SubmitRequest
+    def submit_id(
+        self, parsed: identity.ParsedId, request: requests.SubmitRequest
     ) -> Pending:
-        """Send the request on to the owner named in its id."""
-        if request.forwarded:
-            return defer.succeed(
-                answers.plain(
-                    codes.ResultCode.OWNER_GONE, submission_id=request.key
-                )
-            )
-        return self.forwarder.submit(
-            parsed.owner,
-            forwarding.ForwardedRequest(
-                submission_id=names.SubmissionId(request.key),
-                job=request.job,
-                body=request.body,
-                authorization=request.authorization,
-            ),
+        """Take a submission with a minted id, wherever it is owned."""
+        entry = self.book.find(identity.format_id(parsed))
+        if entry is not None and entry.moved is None:
+            return self.answers.join_checked(parsed, entry, request)
+        if parsed.owner == self.minter.incarnation and entry is None:
+            return self.take(parsed, request)
+        return self.elsewhere(
+            parsed,
+            local_answers.submit_call(parsed, request),
+            entry,
+            request.forwarded,
         )
 
     def take(
-        self, submission_id: names.SubmissionId, request: SubmitRequest
+        self, parsed: identity.ParsedId, request: requests.SubmitRequest
     ) -> Pending:
-        """Run a submission of this owner, or join the run of its id."""
-        digest = xxhash.xxh3_128_hexdigest(request.job.encode() + request.body)
-        known = self.book.find(submission_id)
-        if known is not None:
-            if known.digest != digest:
-                return self.refuse(
-                    codes.ResultCode.ID_REUSED, submission_id=submission_id
-                )
-            return self.join(submission_id, known)
+        """Run a submission of this owner unless its id or job is refused."""
+        submission_id = identity.format_id(parsed)
+        spent = self.minter.refusal(parsed, self.book.horizon)
+        if spent is codes.ResultCode.ID_EXPIRED:
+            return self.elsewhere(
+                parsed,
+                local_answers.submit_call(parsed, request),
+                None,
+                forwarded=False,
+            )
+        if spent is not None:
+            return local_answers.refuse(spent, submission_id=submission_id)
         if self.draining:
-            return self.refuse(
-                codes.ResultCode.DRAINING, submission_id=submission_id
+            ending = jobs.JobEnded(code=codes.ResultCode.DRAINING)
+            return self.answers.join(
+                parsed, self.owned.refuse(parsed, request, ending)
             )
-        checked = self.check(submission_id, request, digest)
+        entry = self.start(parsed, request)
+        if request.respond_async and entry.outcome is None:
+            return self.answers.accepted(parsed, entry)
+        return self.answers.join(parsed, entry)
+
+    def start(
+        self, parsed: identity.ParsedId, request: requests.SubmitRequest
+    ) -> outcomes.Entry:
+        """Check a submission and queue it, or refuse its id for good."""
+        submission_id = identity.format_id(parsed)
+        checked = self.owned.checker.check(submission_id, request)
+        available = self.owned.recorder.available
+        if request.respond_async and not available:
+            checked = jobs.JobEnded(code=codes.ResultCode.PLATFORM_AWAY)
         match checked:
             case jobs.JobEnded():
-                return self.refuse(
-                    checked.code, checked.detail, submission_id=submission_id
-                )
-            case jobs.JobRequest():
-                entry = self.book.open(submission_id, digest)
-                pending = self.join(submission_id, entry)
-                self.dispatcher.enqueue(
-                    submission.Submission(request=checked), self.settle
-                )
-                return pending
+                return self.owned.refuse(parsed, request, checked)
+        return self.owned.run(parsed, request, checked)
 
-    def check(
+    def ask(
         self,
-        submission_id: names.SubmissionId,
-        request: SubmitRequest,
-        digest: str,
-    ) -> jobs.JobRequest | jobs.JobEnded:
-        """Check a request against the configuration and the limits."""
-        config = self.configuration()
-        if config is None:
-            return jobs.JobEnded(code=codes.ResultCode.NO_CONFIGURATION)
-        job = config.job_named(request.job)
-        if job is None:
-            return jobs.JobEnded(code=codes.ResultCode.UNKNOWN_JOB)
-        if request.team not in job.teams:
-            return jobs.JobEnded(code=codes.ResultCode.FORBIDDEN)
-        body = decode_body(request.body)
-        match body:
-            case jobs.JobEnded():
-                return body
-        refusal = self.refusal(len(body.tasks), job.max_tasks)
-        if refusal is not None:
-            return jobs.JobEnded(code=refusal)
-        return self.job_request(submission_id, request, body, job, digest)
+        team: names.TeamName,
+        call: forwarding.ForwardedRequest,
+        *,
+        forwarded: bool,
+    ) -> Pending:
+        """Show or cancel a submission, wherever it is owned.
 
-    def refusal(
-        self, task_count: int, max_tasks: int
-    ) -> codes.ResultCode | None:
-        """Return why a job of that size can't be taken, if it can't."""
-        if task_count > max_tasks:
-            return codes.ResultCode.TOO_MANY_TASKS
-        return self.dispatcher.refusal(task_count)
+        Args:
+            team: Team of the token.
+            call: What is asked.
+            forwarded: Whether a peer sent it.
 
-    def job_request(
-        self,
-        submission_id: names.SubmissionId,
-        request: SubmitRequest,
-        body: SubmitBody,
-        job: document.Job,
-        digest: str,
-    ) -> jobs.JobRequest:
-        """Return the checked job."""
-        allowed_s = body.deadline_ms / _MS or self.default_deadline_s
-        return jobs.JobRequest(
-            submission_id=submission_id,
-            team=request.team,
-            job=request.job,
-            urgency=job.urgency,
-            pool=names.PoolName(job.pool),
-            tasks=tuple(
-                jobs.TaskSpec(
-                    payload=task.payload, declared_ms=task.declared_ms
-                )
-                for task in body.tasks
-            ),
-            deadline_s=self.dispatcher.timers.now() + allowed_s,
-            digest=digest,
+        Returns:
+            Fires with the answer.
+        """
+        parsed = identity.parse_id(call.submission_id)
+        refusal = refusal_of(parsed, team)
+        match parsed:
+            case identity.ParsedId() if refusal is None:
+                answered = self.answers.local(parsed, call)
+                if answered is not None:
+                    return answered
+                entry = self.book.find(call.submission_id)
+                return self.elsewhere(parsed, call, entry, forwarded)
+        return local_answers.refuse(
+            refusal or codes.ResultCode.BAD_SUBMISSION_ID,
+            submission_id=call.submission_id,
         )
 
-    def settle(self, job: submission.Submission) -> None:
-        """Keep the outcome and answer everyone who waits for it."""
-        self.book.close(job.request.submission_id, job.outcome())
-
-    def join(
-        self, submission_id: names.SubmissionId, entry: outcomes.Entry
+    def elsewhere(
+        self,
+        parsed: identity.ParsedId,
+        call: forwarding.ForwardedRequest,
+        entry: outcomes.Entry | None,
+        forwarded: bool,
     ) -> Pending:
-        """Wait for the outcome of an entry."""
-        parsed = identity.parse_id(submission_id)
-        team = names.TeamName('')
-        match parsed:
-            case identity.ParsedId():
-                team = parsed.team
-        pending = entry.wait()
-        return pending.addCallback(
-            lambda outcome: answers.of_outcome(
-                outcome,
-                submission_id=submission_id,
-                next_submission_id=self.minter.mint(team),
+        """Get the answer of another owner, or of the table."""
+        if entry is not None and entry.moved is not None:
+            return self.relay(parsed, call, entry.moved)
+        if forwarded:
+            return local_answers.refuse(
+                codes.ResultCode.OWNER_GONE, submission_id=call.submission_id
             )
-        )
+        search = resolving.Search(parsed=parsed, request=call)
+        return defer.ensureDeferred(self.resolver.resolve(search, parsed.owner))
 
-    def refuse(
+    def relay(
         self,
-        code: codes.ResultCode,
-        detail: str = '',
-        *,
-        submission_id: str = '',
+        parsed: identity.ParsedId,
+        call: forwarding.ForwardedRequest,
+        record: records.Record,
     ) -> Pending:
-        """Answer at once that nothing was run."""
-        return defer.succeed(
-            answers.plain(code, detail=detail, submission_id=submission_id)
-        )
-
-
-def decode_body(body: bytes) -> SubmitBody | jobs.JobEnded:
-    """Decode the body of a submission.
-
-    Args:
-        body: Request body.
-
-    Returns:
-        The body, or the refusal that says what is wrong with it.
-    """
-    try:
-        decoded = msgspec.json.decode(body, type=SubmitBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as broken:
-        return jobs.JobEnded(
-            code=codes.ResultCode.BAD_REQUEST, detail=str(broken)
-        )
-    if not decoded.tasks:
-        return jobs.JobEnded(
-            code=codes.ResultCode.BAD_REQUEST, detail='tasks is empty'
-        )
-    if not 0 <= decoded.deadline_ms <= MAX_DEADLINE_MS:
-        return jobs.JobEnded(
-            code=codes.ResultCode.BAD_REQUEST,
-            detail=f'deadline_ms must be from 0 to {MAX_DEADLINE_MS}',
-        )
-    return decoded
+        """Get the answer of the owner that a record names."""
+        search = resolving.Search(parsed=parsed, request=call, fallback=record)
+        owner = records.parse_owner(record.owner)
+        return defer.ensureDeferred(self.resolver.resolve(search, owner))
+
+    def moved(self, entry: outcomes.Entry) -> None:
+        """Relay the answer of the new owner to those who wait here."""
+        request = entry.request
+        record = entry.moved
+        entry.request = None
+        if request is None or record is None or not entry.waiters:
+            return
+        parsed = identity.parse_id(record.submission_id)
+        match parsed:
+            case identity.ParsedId():
+                call = local_answers.submit_call(parsed, request)
+                self.relay(parsed, call, record).addCallback(entry.tell)
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        return {
+            'last_sequence': self.minter.last_sequence,
+            'owned': self.owned.describe(),
+            'records': self.owned.recorder.describe(),
+            'takeover': self.resolver.taker.describe(),
+        }
+
+
+def refusal_of(
+    parsed: identity.ParsedId | identity.BadId, team: names.TeamName
+) -> codes.ResultCode | None:
+    """Return why a team may not use an id, if it may not."""
+    match parsed:
+        case identity.BadId():
+            return codes.ResultCode.BAD_SUBMISSION_ID
+    if parsed.team != team:
+        return codes.ResultCode.FORBIDDEN
+    return None
--- a/standins/src/guavaroad_standins/platform.py
+++ b/standins/src/guavaroad_standins/platform.py
@@ -12,7 +12,7 @@
 from twisted.internet import defer
 from twisted.web import http, resource, server
 
-from guavaroad_standins import faults, rows, web
+from guavaroad_standins import faults, gates, rows, web
 
 _DEFAULT_PORT: Final = 7000
 _PORT = flags.DEFINE_integer('port', _DEFAULT_PORT, 'Port to listen on.')
@@ -28,6 +28,7 @@
         self.instances: bytes = b'{}'
         self.shown_instances: bytes = b'{}'
         self.faults = faults.PlatformFaults()
+        self.gate = gates.Gate()
 
     def root(self) -> Any:
         """Return the tree of pages."""
@@ -52,11 +53,39 @@
         """Call a handler under the switched faults."""
         if self.faults.down:
             return web.DROPPED
+        if request.method == b'POST' and self.holds_this():
+            return defer.ensureDeferred(
+                self.held(handler, request, self.faults.hold)
+            )
         answer = handler(request)
         if self.faults.slow_ms:
             return web.later(self.faults.slow_ms, answer)
         return answer
 
+    def holds_this(self) -> bool:
+        """Return whether the write that came now is held."""
+        if not self.faults.hold:
+            return False
+        if self.faults.hold_skip:
+            self.faults.hold_skip -= 1
+            return False
+        self.faults.hold_count -= 1
+        return self.faults.hold_count >= 0
+
+    async def held(
+        self,
+        handler: Callable[[server.Request], web.Answer],
+        request: server.Request,
+        where: str,
+    ) -> web.Answer:
+        """Serve a write, held before it takes effect or before its answer."""
+        if where == 'request':
+            await self.gate.wait()
+            return handler(request)
+        answer = handler(request)
+        await self.gate.wait()
+        return answer
+
     def serve_table(self, request: server.Request) -> web.Answer:
         """Serve rows, transactions and the read back of operations."""
         match (request.method, web.parts(request)):
@@ -114,10 +143,14 @@
                 self.faults = msgspec.json.decode(
                     web.body(request), type=faults.PlatformFaults
                 )
+                if not self.faults.hold:
+                    self.gate.release()
                 return web.json_answer(self.faults)
             case (b'PUT', ['instances']):
                 self.instances = web.body(request)
                 return web.Answer()
+            case (b'GET', ['held']):
+                return web.json_answer(len(self.gate.held))
             case (b'GET', ['counters']):
                 return web.json_answer(self.table.counters)
         return web.Answer(status=http.NOT_FOUND)
--- a/standins/src/guavaroad_standins/upstream.py
+++ b/standins/src/guavaroad_standins/upstream.py
@@ -15,7 +15,7 @@
 from twisted.internet import defer
 from twisted.web import http, resource, server
 
-from guavaroad_standins import faults, web
+from guavaroad_standins import faults, gates, web
 
 _PORTS = flags.DEFINE_list('ports', ['7100'], 'Ports, one an upstream.')
 _SLOTS = flags.DEFINE_integer('slots', 8, 'Tasks an upstream runs at once.')
@@ -58,6 +58,7 @@
         self.starts: list[str] = []
         self.counters = Counters()
         self.faults = faults.UpstreamFaults()
+        self.gate = gates.Gate()
 
     def root(self) -> Any:
         """Return the tree of pages."""
@@ -78,18 +79,22 @@
             self.counters.busy += 1
             return refusal(NOT_STARTED)
         payload = msgspec.json.decode(web.body(request), type=Payload)
-        self.log_start(request.getHeader('guavaroad-task') or '')
+        task_id = request.getHeader('guavaroad-task') or ''
         if self.faults.failing:
+            self.log_start(task_id)
             return web.Answer(status=http.INTERNAL_SERVER_ERROR)
-        return defer.ensureDeferred(self.run(payload))
+        return defer.ensureDeferred(self.run(payload, task_id))
 
     def log_start(self, task_id: str) -> None:
         """Count a start."""
         self.starts.append(task_id)
         self.counters.started += 1
 
-    async def run(self, payload: Payload) -> web.Answer:
+    async def run(self, payload: Payload, task_id: str) -> web.Answer:
         """Hold a slot for the run time of the task."""
+        if self.faults.hold == 'request':
+            await self.gate.wait()
+        self.log_start(task_id)
         self.running += 1
         self.counters.most_running = max(
             self.counters.most_running, self.running
@@ -98,6 +103,8 @@
         await web.sleep(run_ms)
         self.running -= 1
         self.counters.finished += 1
+        if self.faults.hold == 'answer':
+            await self.gate.wait()
         if self.faults.drop_after:
             return web.DROPPED
         if payload.fail:
@@ -111,7 +118,11 @@
                 self.faults = msgspec.json.decode(
                     web.body(request), type=faults.UpstreamFaults
                 )
+                if not self.faults.hold:
+                    self.gate.release()
                 return web.json_answer(self.faults)
+            case (b'GET', ['held']):
+                return web.json_answer(len(self.gate.held))
             case (b'GET', ['starts']):
                 return web.json_answer(self.starts)
             case (b'GET', ['counters']):
