--- a/packages/guavaroad/src/guavaroad/domain/identity.py
+++ b/packages/guavaroad/src/guavaroad/domain/identity.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import re
 from typing import Final
 
 import xxhash
@@ -14,6 +15,7 @@
 _SEPARATOR: Final = '~'
 _FIELD_COUNT: Final = 7
 _MAX_ID_CHARS: Final = 256
+_CLIENT_KEY: Final = re.compile('[A-Za-z0-9._:-]{1,128}')
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,16 +103,16 @@
     return _typed(fields)
 
 
-def looks_minted(text: str) -> bool:
-    """Tell an id from a key that the client chose.
+def is_client_key(text: str) -> bool:
+    """Tell a key that the client chose from an id, also a damaged one.
 
     Args:
         text: Value of the Idempotency-Key header.
 
     Returns:
-        Whether the text has the outer form of a submission id.
+        Whether the text is a key: letters, digits and `._:-` only.
     """
-    return text.count(_SEPARATOR) == _FIELD_COUNT - 1
+    return _CLIENT_KEY.fullmatch(text) is not None
 
 
 def _typed(fields: list[str]) -> ParsedId | BadId:
--- a/packages/guavaroad/src/guavaroad/main.py
+++ b/packages/guavaroad/src/guavaroad/main.py
@@ -11,7 +11,7 @@
 from twisted.internet import main as reactor_main
 
 from guavaroad import __version__, app, settings
-from guavaroad.adapters import logs
+from guavaroad.adapters import logs, stop_signals
 
 _SETTINGS = flags.DEFINE_string(
     'settings', 'guavaroad.yaml', 'YAML file with the settings.'
@@ -52,7 +52,9 @@
         application.listen()
     except error.CannotListenError as taken:
         sys.exit(f'guavaroad: no port: {taken}')
-    reactor.run()
+    stop_signals.follow(reactor, application.stop)
+    reactor.run(installSignalHandlers=False)
+    sys.exit(application.exit_code)
 
 
 def run() -> None:
--- a/packages/guavaroad/src/guavaroad/services/owning/ownership.py
+++ b/packages/guavaroad/src/guavaroad/services/owning/ownership.py
@@ -77,7 +77,10 @@
         """
         submission_id = identity.format_id(parsed)
         entry = self.book.open(submission_id, self.entry_of(parsed, request))
-        self.book.close(submission_id, ending)
+        detail = ending.detail or codes.facts_of(ending.code).meaning
+        self.book.close(
+            submission_id, dataclasses.replace(ending, detail=detail)
+        )
         return entry
 
     def run(
--- a/packages/guavaroad/src/guavaroad/services/submissions.py
+++ b/packages/guavaroad/src/guavaroad/services/submissions.py
@@ -76,7 +76,7 @@
         """
         if not request.key:
             return self.take(self.minter.mint_parsed(request.team), request)
-        if not identity.looks_minted(request.key):
+        if identity.is_client_key(request.key):
             ending = (
                 jobs.JobEnded(code=codes.ResultCode.DRAINING)
                 if self.draining
@@ -84,14 +84,11 @@
             )
             return self.keys.submit(request, self.answers.join, ending)
         parsed = identity.parse_id(request.key)
-        refusal = refusal_of(parsed, request.team)
-        match parsed:
-            case identity.ParsedId() if refusal is None:
-                return self.submit_id(parsed, request)
-        return local_answers.refuse(
-            refusal or codes.ResultCode.BAD_SUBMISSION_ID,
-            submission_id=request.key,
-        )
+        checked = checked_id(parsed, request.team)
+        match checked:
+            case jobs.JobEnded():
+                return local_answers.refuse(checked.code, checked.detail)
+        return self.submit_id(checked, request)
 
     def submit_id(
         self, parsed: identity.ParsedId, request: requests.SubmitRequest
@@ -166,18 +163,15 @@
             Fires with the answer.
         """
         parsed = identity.parse_id(call.submission_id)
-        refusal = refusal_of(parsed, team)
-        match parsed:
-            case identity.ParsedId() if refusal is None:
-                answered = self.answers.local(parsed, call)
-                if answered is not None:
-                    return answered
-                entry = self.book.find(call.submission_id)
-                return self.elsewhere(parsed, call, entry, forwarded)
-        return local_answers.refuse(
-            refusal or codes.ResultCode.BAD_SUBMISSION_ID,
-            submission_id=call.submission_id,
-        )
+        checked = checked_id(parsed, team)
+        match checked:
+            case jobs.JobEnded():
+                return local_answers.refuse(checked.code, checked.detail)
+        answered = self.answers.local(checked, call)
+        if answered is not None:
+            return answered
+        entry = self.book.find(call.submission_id)
+        return self.elsewhere(checked, call, entry, forwarded)
 
     def elsewhere(
         self,
@@ -230,13 +224,17 @@
         }
 
 
-def refusal_of(
+def checked_id(
     parsed: identity.ParsedId | identity.BadId, team: names.TeamName
-) -> codes.ResultCode | None:
-    """Return why a team may not use an id, if it may not."""
+) -> identity.ParsedId | jobs.JobEnded:
+    """Return an id that a team may use, or why it may not."""
     match parsed:
         case identity.BadId():
-            return codes.ResultCode.BAD_SUBMISSION_ID
+            return jobs.JobEnded(
+                code=codes.ResultCode.BAD_SUBMISSION_ID, detail=parsed.reason
+            )
     if parsed.team != team:
-        return codes.ResultCode.FORBIDDEN
-    return None
+        return jobs.JobEnded(
+            code=codes.ResultCode.FORBIDDEN, detail='the id is of another team'
+        )
+    return parsed
