Kill, freeze and mislead owners in scenarios on real processes

25 scenarios over two instances: the owner killed at eight steps of a recorded submission (platform and upstream stand-ins hold the request or the answer), frozen past takeover and woken, lost answers of writes, platform away, client keys and ids sent everywhere at once, cancel waves, a cancel ahead of its submission, dropped upstream connections, 1,000 interleaved requests. Starts are counted at the upstreams: no second start in any.

The stand-in lost the body of a held write once its sender was killed; it now keeps it, which the two 'sent' steps failed on first.

--- /dev/null
+++ b/features/steps/ownership_steps.py
@@ -0,0 +1,449 @@
+"""Steps that kill, freeze and mislead the owners of submissions."""
+
+import contextlib
+import functools
+import random
+import socket
+import threading
+from concurrent import futures
+from http import client as http_client
+
+import behave
+
+from guavaroad_standins import calls, fleet, processes
+
+ERRORS = (OSError, http_client.HTTPException)
+BODY = {
+    'tasks': [{'payload': {'run_ms': 20, 'echo': index}} for index in range(3)]
+}
+SETTLED_S = 40
+OPERATOR = {'Authorization': f'Bearer {fleet.OPERATOR_TOKEN}'}
+
+
+def headers_of(team, key='', **more):
+    headers = {'Authorization': f'Bearer {team}-secret', **more}
+    if key:
+        headers['Idempotency-Key'] = key
+    return headers
+
+
+def post(address, key='', team='office', body=None, **more):
+    return calls.call(
+        'POST',
+        address,
+        '/v1/jobs/render/submissions',
+        body=body or BODY,
+        headers=headers_of(team, key, **more),
+        timeout_s=SETTLED_S,
+    )
+
+
+def mint(address, count=1):
+    reply = calls.call(
+        'POST',
+        address,
+        '/v1/submission-ids',
+        body={'count': count},
+        headers=headers_of('office'),
+    )
+    return reply.decoded()['extra']['submission_ids']
+
+
+def in_background(call, *arguments, **named):
+    thread = threading.Thread(
+        target=quietly, args=(call, *arguments), kwargs=named, daemon=True
+    )
+    thread.start()
+
+
+def quietly(call, *arguments, **named):
+    with contextlib.suppress(*ERRORS):
+        call(*arguments, **named)
+
+
+def addresses(context):
+    return [one.address for one in context.fleet.instances]
+
+
+def owner_process(context):
+    owner = context.fleet.instances[0]
+    return owner.process
+
+
+def held(address):
+    return calls.call('GET', address, '/admin/held').decoded()
+
+
+def held_at_upstreams(context):
+    return sum(held(place.address) for place in context.fleet.upstreams)
+
+
+def switch_upstreams(context, **faults):
+    for place in context.fleet.upstreams:
+        fleet.switch(place.address, **faults)
+
+
+def name_at(context, index, key):
+    reply = post(addresses(context)[index], key)
+    context.last = reply.decoded()
+    return context.last['name']
+
+
+@behave.given(
+    'a fleet whose instances lose patience with the platform after 1 s'
+)
+def given_ownership_fleet(context):
+    context.fleet = fleet.Fleet(plan=fleet.FleetPlan(upstreams_per_zone=1))
+    context.fleet.plan.settings['platform'] = {
+        'url': f'http://{context.fleet.platform_address}',
+        'timeout_s': 1,
+    }
+    context.fleet.start()
+    teams = ['office', 'rival']
+    calls.call(
+        'PATCH',
+        addresses(context)[0],
+        '/v1/config',
+        body={
+            'teams': {team: {} for team in teams},
+            'jobs': {'render': {'teams': teams}},
+        },
+        headers={'If-Match': '0', **OPERATOR},
+    )
+    for address in addresses(context):
+        processes.wait_until(
+            functools.partial(knows_configuration, address), 'configuration'
+        )
+
+
+def state_of(address):
+    return calls.call('GET', address, '/v1/state', headers=OPERATOR).decoded()
+
+
+def knows_configuration(address):
+    return state_of(address)['config_version'] == 1
+
+
+def record_state(context):
+    return state_of(addresses(context)[0])['submissions']['records']
+
+
+@behave.given('the platform holds write {number:d} at the {hold}')
+def given_held_write(context, number, hold):
+    fleet.switch(
+        context.fleet.platform_address, hold=hold, hold_skip=number - 1
+    )
+
+
+@behave.given('the upstreams hold tasks at the {hold}')
+def given_held_tasks(context, hold):
+    switch_upstreams(context, hold='' if hold == 'nothing' else hold)
+
+
+@behave.given('the upstreams drop connections {when} the start')
+def given_dropping(context, when):
+    switch_upstreams(context, **{f'drop_{when}': True})
+
+
+@behave.given('the platform loses the answers of the next {count:d} writes')
+def given_lost_answers(context, count):
+    fleet.switch(context.fleet.platform_address, lost_answers=count)
+
+
+@behave.given('the platform is down')
+def given_platform_down(context):
+    fleet.switch(context.fleet.platform_address, down=True)
+
+
+@behave.when('an asynchronous submission of 3 tasks goes to the first instance')
+def when_asynchronous(context):
+    first = addresses(context)[0]
+    context.key = mint(first)[0]
+    in_background(post, first, context.key, Prefer='respond-async')
+
+
+@behave.when(
+    'a submission of 3 tasks goes to the first instance without a wait'
+)
+def when_not_waiting(context):
+    first = addresses(context)[0]
+    context.key = mint(first)[0]
+    in_background(post, first, context.key)
+
+
+@behave.when('an id is minted by the first instance and the owner is killed')
+def when_only_minted(context):
+    context.key = mint(addresses(context)[0])[0]
+    owner_process(context).kill()
+
+
+def wait_step(context, step):
+    if step == 'answer recorded':
+        processes.wait_until(
+            lambda: name_at(context, 0, context.key) == 'COMPLETE', step
+        )
+        processes.wait_until(lambda: nothing_to_write(context), step)
+    elif step in {'request written', 'upstream started'}:
+        processes.wait_until(lambda: held_at_upstreams(context) == 3, step)
+    else:
+        platform = context.fleet.platform_address
+        processes.wait_until(lambda: held(platform) == 1, step)
+
+
+def nothing_to_write(context):
+    return record_state(context)['unwritten'] == 0
+
+
+@behave.when('it reaches the step "{step}" and the owner is killed')
+def when_killed_at(context, step):
+    wait_step(context, step)
+    owner_process(context).kill()
+
+
+@behave.when('it reaches the step "{step}" and the owner is frozen')
+def when_frozen_at(context, step):
+    wait_step(context, step)
+    owner_process(context).freeze()
+
+
+@behave.when('its tasks have started and the owner is killed')
+def when_started_killed(context):
+    processes.wait_until(lambda: held_at_upstreams(context) == 3, 'held')
+    owner_process(context).kill()
+
+
+@behave.when('its tasks have started and the client leaves')
+def when_client_leaves(context):
+    processes.wait_until(lambda: held_at_upstreams(context) == 3, 'held')
+    address, _, port = addresses(context)[0].rpartition(':')
+    with socket.create_connection((address, int(port))) as connection:
+        connection.sendall(b'GET /v1/submissions/x HTTP/1.1\r\nHost: x\r\n')
+
+
+@behave.when('everything held is released')
+def when_released(context):
+    fleet.switch(context.fleet.platform_address)
+    switch_upstreams(context)
+
+
+@behave.when('everything held is released {when} the second instance is asked')
+def when_released_around(context, when):
+    if when == 'after':
+        processes.wait_until(
+            lambda: name_at(context, 1, context.key) == 'COMPLETE', 'taken over'
+        )
+    when_released(context)
+
+
+@behave.when('everything held is released and the owner is woken')
+def when_woken(context):
+    when_released(context)
+    owner_process(context).thaw()
+
+
+@behave.when('the platform is back')
+def when_platform_back(context):
+    fleet.switch(context.fleet.platform_address)
+
+
+@behave.then('the {which} instance answers {name} again and again')
+def then_answers(context, which, name):
+    index = ('first', 'second').index(which)
+    processes.wait_until(
+        lambda: name_at(context, index, context.key) == name,
+        f'{which} instance answers {name}',
+        SETTLED_S,
+    )
+    kept = context.last.get('answers')
+    for _ in range(3):
+        assert name_at(context, index, context.key) == name, context.last
+        assert context.last.get('answers') == kept, context.last
+    if name == 'COMPLETE':
+        assert [one['echo'] for one in kept] == [0, 1, 2], kept
+
+
+@behave.then('{count:d} tasks started and none twice')
+def then_count(context, count):
+    processes.wait_until(
+        lambda: len(context.fleet.starts()) >= count, 'the starts'
+    )
+    starts = context.fleet.starts()
+    assert len(starts) == count, starts
+    assert len(set(starts)) == count, starts
+
+
+@behave.then('at most {count:d} tasks started and none twice')
+def then_at_most(context, count):
+    starts = context.fleet.starts()
+    assert len(starts) <= count, starts
+    assert len(set(starts)) == len(starts), starts
+
+
+@behave.then('{count:d} tasks start without any request')
+def then_start_alone(context, count):
+    processes.wait_until(
+        lambda: len(context.fleet.starts()) == count, 'the scan', SETTLED_S
+    )
+
+
+@behave.then('no task of the fleet started twice')
+def then_none_twice(context):
+    starts = context.fleet.starts()
+    assert len(starts) == len(set(starts))
+
+
+@behave.then('a submission without a key is answered {name}')
+def then_keyless(context, name):
+    reply = post(addresses(context)[0])
+    context.last = reply.decoded()
+    context.key = context.last['submission_id']
+    assert context.last['name'] == name, context.last
+
+
+@behave.then('the next asynchronous submission is answered {name}')
+def then_asynchronous(context, name):
+    processes.wait_until(
+        lambda: not record_state(context)['platform_available'], 'away'
+    )
+    answer = post(addresses(context)[0], Prefer='respond-async').decoded()
+    assert answer['name'] == name, answer
+
+
+@behave.then('a submission with the client key "{key}" is answered {name}')
+def then_client_key(context, key, name):
+    answer = post(addresses(context)[0], key).decoded()
+    assert answer['name'] == name, answer
+
+
+@behave.then('the answer given meanwhile can be read after the owner is killed')
+def then_recorded_later(context):
+    processes.wait_until(lambda: nothing_to_write(context), 'the backlog')
+    owner_process(context).kill()
+    assert name_at(context, 1, context.key) == 'COMPLETE', context.last
+
+
+def send_everywhere(context, key):
+    with futures.ThreadPoolExecutor() as pool:
+        replies = pool.map(
+            lambda at: post(at, key).decoded(), addresses(context) * 4
+        )
+        context.copies = list(replies)
+
+
+@behave.when(
+    'one body with the client key "{key}" goes to every instance 4 times'
+)
+def when_key_everywhere(context, key):
+    send_everywhere(context, key)
+
+
+@behave.when('one minted id goes to every instance 4 times')
+def when_id_everywhere(context):
+    context.key = mint(addresses(context)[0])[0]
+    send_everywhere(context, context.key)
+
+
+@behave.when('it goes to every instance again')
+def when_again(context):
+    before = context.copies
+    send_everywhere(context, context.key)
+    context.copies += before
+
+
+@behave.then('every copy is answered COMPLETE with the same answers')
+def then_same_copies(context):
+    for copy in context.copies:
+        assert copy['name'] == 'COMPLETE', copy
+        assert copy['answers'] == context.copies[0]['answers'], copy
+
+
+def cancel(address, key):
+    return calls.call(
+        'DELETE',
+        address,
+        f'/v1/submissions/{key}',
+        headers=headers_of('office'),
+    ).decoded()
+
+
+@behave.when('{count:d} submissions are cancelled while they start')
+def when_cancel_wave(context, count):
+    first, second = addresses(context)
+    keys = mint(first, count)
+    chooser = random.Random(4)
+    ways = [chooser.choice(('', 'respond-async')) for _ in keys]
+    with futures.ThreadPoolExecutor(2 * count) as pool:
+        sent = [
+            pool.submit(post, first, key, Prefer=way)
+            for key, way in zip(keys, ways, strict=True)
+        ]
+        waves = [pool.submit(cancel, second, key) for key in keys]
+        futures.wait([*sent, *waves])
+    context.ended = {}
+    for key in keys:
+        processes.wait_until(
+            functools.partial(has_ended, context, key), 'the end'
+        )
+        context.ended[key] = context.last
+
+
+def has_ended(context, key):
+    return name_at(context, 1, key) != 'PENDING'
+
+
+@behave.then('every submission that is answered CANCELLED started nothing')
+def then_cancelled_truly(context):
+    started = {task.partition('/')[0] for task in context.fleet.starts()}
+    cancelled = {
+        key
+        for key, answer in context.ended.items()
+        if answer['name'] == 'CANCELLED'
+    }
+    assert cancelled, context.ended
+    assert not cancelled & started
+
+
+@behave.then('every submission that is answered COMPLETE is whole')
+def then_whole(context):
+    known = {'CANCELLED', 'CANCELLED_DURING_RUN', 'COMPLETE'}
+    for answer in context.ended.values():
+        assert answer['name'] in known, answer
+        if answer['name'] == 'COMPLETE':
+            assert len(answer['answers']) == 3, answer
+
+
+@behave.when('an unused id is cancelled at the second instance')
+def when_unused_cancelled(context):
+    first, second = addresses(context)
+    context.key = mint(first)[0]
+    assert cancel(second, context.key)['name'] == 'CANCELLED'
+
+
+@behave.when(
+    'two teams send 500 requests each, interleaved, with random delays'
+)
+def when_interleaved(context):
+    chooser = random.Random(1000)
+    wanted = [
+        (team, f'{team}-{number}', chooser.randint(1, 40))
+        for number in range(500)
+        for team in ('office', 'rival')
+    ]
+    address = addresses(context)[0]
+    with futures.ThreadPoolExecutor(16) as pool:
+        asked = [pool.submit(echo, address, *one) for one in wanted]
+    context.pairs = [one.result() for one in asked]
+
+
+def echo(address, team, text, run_ms):
+    payload = {'run_ms': run_ms, 'echo': text}
+    body = {'tasks': [{'payload': payload}]}
+    return text, post(address, team=team, body=body).decoded()
+
+
+@behave.then('every answer carries the text of its own request')
+def then_own_text(context):
+    assert len(context.pairs) == 1000
+    for text, answer in context.pairs:
+        assert answer['name'] == 'COMPLETE', answer
+        assert answer['answers'][0]['echo'] == text, (text, answer)
--- a/packages/guavaroad/src/guavaroad/domain/submissions/segment_book.py
+++ b/packages/guavaroad/src/guavaroad/domain/submissions/segment_book.py
@@ -61,6 +61,14 @@
         if self.open_keys.get(prefix) == key:
             self.open_keys.pop(prefix)
 
+    def unwritten(self) -> int:
+        """Return how many records the table does not have yet."""
+        return sum(
+            entry.dirty()
+            for one in self.segments.values()
+            for entry in one.entries.values()
+        )
+
     def trim(self) -> None:
         """Stop keeping the oldest rows that need no further write."""
         excess = len(self.segments) - KEPT_SEGMENTS
--- a/packages/guavaroad/src/guavaroad/services/records.py
+++ b/packages/guavaroad/src/guavaroad/services/records.py
@@ -223,6 +223,7 @@
             'platform_available': self.available,
             'segments': len(self.group.segments),
             'records': len(self.group.places),
+            'unwritten': self.group.unwritten(),
             'in_flight': self.group.flight is not None,
             **dataclasses.asdict(self.counters),
         }
--- a/standins/src/guavaroad_standins/platform.py
+++ b/standins/src/guavaroad_standins/platform.py
@@ -4,6 +4,7 @@
 """
 
 import functools
+import io
 from collections.abc import Callable, Sequence
 from typing import Any, Final
 
@@ -80,7 +81,10 @@
     ) -> web.Answer:
         """Serve a write, held before it takes effect or before its answer."""
         if where == 'request':
+            arrived = io.BytesIO(web.body(request))
             await self.gate.wait()
+            # The sender may have gone, and its body with it.
+            request.content = arrived
             return handler(request)
         answer = handler(request)
         await self.gate.wait()
