--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -13,11 +13,18 @@
 from guavaroad_standins import calls, fleet, processes
 
 ERRORS = (OSError, http_client.HTTPException)
-BODY = {
-    'tasks': [{'payload': {'run_ms': 20, 'echo': index}} for index in range(3)]
-}
+ECHOES = (0, 1, 2)
 SETTLED_S = 40
-OPERATOR = {'Authorization': f'Bearer {fleet.OPERATOR_TOKEN}'}
+PLATFORM_URL = 'http://{0}'
+
+
+def small_body():
+    payloads = [{'run_ms': 20, 'echo': index} for index in ECHOES]
+    return {'tasks': [{'payload': payload} for payload in payloads]}
+
+
+def operator_headers():
+    return {'Authorization': f'Bearer {fleet.OPERATOR_TOKEN}'}
 
 
 def headers_of(team, key='', **more):
@@ -32,7 +39,7 @@
         'POST',
         address,
         '/v1/jobs/render/submissions',
-        body=body or BODY,
+        body=body or small_body(),
         headers=headers_of(team, key, **more),
         timeout_s=SETTLED_S,
     )
@@ -95,7 +102,7 @@
 def given_ownership_fleet(context):
     context.fleet = fleet.Fleet(plan=fleet.FleetPlan(upstreams_per_zone=1))
     context.fleet.plan.settings['platform'] = {
-        'url': f'http://{context.fleet.platform_address}',
+        'url': PLATFORM_URL.format(context.fleet.platform_address),
         'timeout_s': 1,
     }
     context.fleet.start()
@@ -108,7 +115,7 @@
             'teams': {team: {} for team in teams},
             'jobs': {'render': {'teams': teams}},
         },
-        headers={'If-Match': '0', **OPERATOR},
+        headers=operator_headers() | {'If-Match': '0'},
     )
     for address in addresses(context):
         processes.wait_until(
@@ -117,7 +124,9 @@
 
 
 def state_of(address):
-    return calls.call('GET', address, '/v1/state', headers=OPERATOR).decoded()
+    return calls.call(
+        'GET', address, '/v1/state', headers=operator_headers()
+    ).decoded()
 
 
 def knows_configuration(address):
--- a/packages/guavaroad/src/guavaroad/adapters/http_upstreams.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_upstreams.py
@@ -11,12 +11,13 @@
 from twisted.web import http
 
 from guavaroad.adapters import http_client
-from guavaroad.domain import attempts
+from guavaroad.domain import attempts, json_input
 from guavaroad.ports import upstreams
 
 STARTED_HEADER: Final = 'guavaroad-started'
 LEAVING_HEADER: Final = 'guavaroad-leaving'
 TASK_HEADER: Final = 'Guavaroad-Task'
+MAX_TASK_ANSWER_BYTES: Final = 1024 * 1024
 _DETAIL_CHARS: Final = 200
 
 
@@ -48,6 +49,7 @@
             },
             body=attempt.payload,
             timeout_s=self.attempt_timeout_s,
+            max_answer_bytes=MAX_TASK_ANSWER_BYTES,
         )
         exchange = await self.client.exchange(call)
         match exchange:
@@ -70,8 +72,8 @@
     Returns:
         What became of the task.
     """
+    leaving = reply.headers.get(LEAVING_HEADER) == 'yes'
     if reply.headers.get(STARTED_HEADER) == 'no':
-        leaving = reply.headers.get(LEAVING_HEADER) == 'yes'
         return attempts.NotStarted(
             reason=attempts.NotStartedReason.LEAVING
             if leaving
@@ -80,20 +82,23 @@
     if reply.status != http.OK:
         words = reply.body[:_DETAIL_CHARS].decode(errors='replace')
         return attempts.Failed(detail=f'status {reply.status}: {words}')
-    return json_answer(reply.body)
+    return json_answer(reply.body, leaving=leaving)
 
 
-def json_answer(body: bytes) -> attempts.AttemptOutcome:
+def json_answer(body: bytes, *, leaving: bool) -> attempts.AttemptOutcome:
     """Check that the answer is JSON.
 
     Args:
         body: Body of a 200 answer.
+        leaving: Whether the upstream said that it leaves.
 
     Returns:
         The answer, or a failure if it is not JSON.
     """
-    try:
-        msgspec.json.decode(body)
-    except msgspec.DecodeError as broken:
-        return attempts.Failed(detail=f'answer is not JSON: {broken}')
-    return attempts.Answered(body=msgspec.Raw(body))
+    decoded = json_input.decode(body, object)
+    match decoded:
+        case json_input.Malformed():
+            return attempts.Failed(
+                detail=f'answer is not JSON: {decoded.reason}'
+            )
+    return attempts.Answered(body=msgspec.Raw(body), leaving=leaving)
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -4,8 +4,15 @@
 
 import prometheus_client
 
-from guavaroad import composition, composition_submissions, settings
+from guavaroad import (
+    composition,
+    composition_dispatch,
+    composition_submissions,
+    settings,
+    settings_slots,
+)
 from guavaroad.adapters import (
+    client_port,
     http_api,
     http_api_site,
     http_api_tokens,
@@ -29,11 +36,14 @@
         self.base = composition.foundation(reactor, chosen)
         self.platform = composition.platform_link(self.base)
         self.bus = composition.peer_bus(self.base)
+        self.membership = composition.membership_service(self.base, self.bus)
         self.configuration = composition.configuration_service(
             self.base, self.platform
         )
         self.directory = composition.directory_service(self.base, self.platform)
-        self.dispatcher = composition.dispatcher(self.base)
+        self.dispatcher = composition_dispatch.dispatcher(
+            self.base, self.configuration
+        )
         self.submissions = composition_submissions.submission_service(
             self.base, self.platform, self.dispatcher, self.configuration
         )
@@ -42,14 +52,29 @@
             self.base, self.submissions, self.site
         )
         self.drain.ended.addCallback(self.stopped)
+        self.drain.hooks.on_leaving.append(self.membership.leave)
         self.exit_code = 0
+        self.membership.shown.load = self.queued_tasks
         self.directory.on_change.append(self.upstreams_changed)
+        self.directory.on_change.append(self.membership.list_changed)
 
     def upstreams_changed(self, listed: platform.InstanceList) -> None:
         """Divide the listed upstreams among the listed instances."""
-        self.dispatcher.set_upstreams(
-            dispatch.static_uses(listed.upstreams, len(listed.entries))
-        )
+        own = self.base.incarnation.address
+        addresses = {entry.address for entry in listed.entries} | {own}
+        index = sorted(addresses).index(own)
+        match self.base.settings.slots.mode:
+            case settings_slots.SlotMode.TWO_CHOICES:
+                uses = dispatch.static_uses(listed.upstreams, 0, 1)
+            case _:
+                uses = dispatch.static_uses(
+                    listed.upstreams, index, len(addresses)
+                )
+        self.dispatcher.set_upstreams(uses)
+
+    def queued_tasks(self) -> int:
+        """Return the tasks that wait here."""
+        return self.dispatcher.queue.task_count
 
     def client_site(self) -> http_api_site.ApiSite:
         """Return the site of the client port."""
@@ -69,15 +94,15 @@
         """Open the ports and begin to follow the platform."""
         self.open_client_port()
         self.bus.start()
+        self.membership.start()
         self.configuration.refresh()
         self.directory.refresh()
         _LOG.info('listening on {}', self.base.incarnation.address)
 
     def open_client_port(self) -> None:
         """Open the port for clients, operators and forwarding peers."""
-        host, _, number = self.base.incarnation.address.rpartition(':')
-        port = self.base.reactor.listenTCP(
-            int(number), self.site, interface=host
+        port = client_port.listen(
+            self.base.reactor, self.base.settings, self.site
         )
         self.drain.hooks.on_closing.append(port.stopListening)
 
@@ -90,17 +115,10 @@
             'address': incarnation.address,
             'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
+            'membership': self.membership.describe(),
+            'dispatch': self.dispatcher.describe(),
             'bus': self.bus.describe(),
             'submissions': self.submissions.describe(),
-            'queued_tasks': self.dispatcher.queue.task_count,
-            'upstreams': [
-                {
-                    'name': use.upstream.name,
-                    'share': use.share,
-                    'running': use.running,
-                }
-                for use in self.dispatcher.uses.values()
-            ],
         }
 
     def stop(self) -> None:
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -10,7 +10,6 @@
     http_api_site,
     http_client,
     http_platform,
-    http_upstreams,
     nng_peers,
     peer_wire,
     reactor_timers,
@@ -19,8 +18,8 @@
 from guavaroad.services import (
     configuration,
     directory,
-    dispatch,
     drain,
+    membership,
     submissions,
 )
 
@@ -58,6 +57,8 @@
             reactor=reactor,
             connections_per_host=connection_share(chosen.limits),
             connect_timeout_s=_CONNECT_TIMEOUT_S,
+            trust=chosen.tls.trust() if chosen.tls else None,
+            instance_scheme='https' if chosen.tls else 'http',
         ),
     )
 
@@ -100,6 +101,20 @@
     )
 
 
+def membership_service(
+    base: Foundation, bus: nng_peers.NngBus
+) -> membership.MembershipService:
+    """Return the view of live instances."""
+    chosen = base.settings
+    return membership.MembershipService(
+        own=base.incarnation,
+        peer_address=names.PeerAddress(chosen.instance.peer_address),
+        bus=bus,
+        timer_service=base.timers,
+        seeds=tuple(map(names.PeerAddress, chosen.peers)),
+    )
+
+
 def configuration_service(
     base: Foundation, link: http_platform.PlatformLink
 ) -> configuration.ConfigurationService:
@@ -122,18 +137,6 @@
     )
 
 
-def dispatcher(base: Foundation) -> dispatch.Dispatcher:
-    """Return the part that starts queued tasks."""
-    limits = base.settings.limits
-    return dispatch.Dispatcher(
-        port=http_upstreams.HttpUpstreams(
-            client=base.client, attempt_timeout_s=limits.attempt_timeout_s
-        ),
-        timer_service=base.timers,
-        max_queued_tasks=limits.queued_tasks,
-    )
-
-
 def client_site(
     base: Foundation, api: http_api.ApiResource
 ) -> http_api_site.ApiSite:
--- a/packages/guavaroad/src/guavaroad/services/forwarding.py
+++ b/packages/guavaroad/src/guavaroad/services/forwarding.py
@@ -102,7 +102,7 @@
         """Return the HTTP request."""
         return http_client.Call(
             method=request.method.value,
-            url=f'http://{owner.address}{path_of(request)}',
+            url=self.url_of(owner, path_of(request)),
             headers={
                 FORWARDED_HEADER: 'yes',
                 'Authorization': request.authorization,
@@ -113,6 +113,11 @@
             timeout_s=self.timeout_s,
         )
 
+    def url_of(self, owner: identity.Incarnation, path: str) -> str:
+        """Return the URL of a page of an owner."""
+        scheme = self.client.instance_scheme
+        return f'{scheme}://{owner.address}{path}'
+
     async def probe(self, owner: identity.Incarnation) -> bool | None:
         """Ask whether an incarnation still runs.
 
@@ -125,7 +130,7 @@
         exchange = await self.client.exchange(
             http_client.Call(
                 method='GET',
-                url=f'http://{owner.address}/healthz',
+                url=self.url_of(owner, '/healthz'),
                 timeout_s=PROBE_TIMEOUT_S,
             )
         )
--- a/packages/guavaroad/src/guavaroad/services/owning/claims.py
+++ b/packages/guavaroad/src/guavaroad/services/owning/claims.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Final
 
-from guavaroad.domain import jobs, names
+from guavaroad.domain import names
 from guavaroad.domain.submissions import submission
 from guavaroad.ports import timers
 from guavaroad.services import dispatch
@@ -34,25 +34,20 @@
         self.asked: dict[names.SubmissionId, submission.Submission] = {}
         timer_service.subscribe(CLAIM_PERIOD_S, self.claim_ahead)
 
-    def expected_wait_s(self, request: jobs.JobRequest) -> float:
-        """Return the wait expected before the last start of a job."""
-        ahead = self.dispatcher.queue.task_count + len(request.tasks)
-        return ahead * TYPICAL_TASK_S / self.slot_count()
-
     def slot_count(self) -> int:
         """Return the slots that this instance may fill."""
-        shares = [use.share for use in self.dispatcher.uses.values()]
-        return max(1, sum(shares))
+        uses = self.dispatcher.slots.uses.values()
+        return max(1, sum(use.share for use in uses))
 
     def plan(self, job: submission.Submission) -> None:
         """Take a submission whose `queued` record is written."""
         self.planned[job.request.submission_id] = job
         self.claim_ahead()
 
-    def opened(self, submission_id: names.SubmissionId) -> None:
+    def opened(self, job: submission.Submission) -> None:
         """Start what the written claim lets start."""
-        self.forget(submission_id)
-        self.dispatcher.pump()
+        self.forget(job.request.submission_id)
+        self.dispatcher.release(job)
 
     def forget(self, submission_id: names.SubmissionId) -> None:
         """Drop a submission that ended or was claimed."""
--- a/packages/guavaroad/src/guavaroad/services/owning/ownership.py
+++ b/packages/guavaroad/src/guavaroad/services/owning/ownership.py
@@ -158,7 +158,7 @@
         """Return whether a successor could finish it if this owner died."""
         if not self.recorder.available:
             return False
-        return self.claims.expected_wait_s(checked) > RECORD_THRESHOLD_S
+        return self.dispatcher.expected_wait_s(checked) > RECORD_THRESHOLD_S
 
     def record(
         self,
--- a/packages/guavaroad/src/guavaroad/services/owning/record_events.py
+++ b/packages/guavaroad/src/guavaroad/services/owning/record_events.py
@@ -54,7 +54,8 @@
             return
         if entry.ending is not None:
             self.owned.book.close(submission_id, entry.ending)
-        self.owned.claims.opened(submission_id)
+        elif entry.job is not None:
+            self.owned.claims.opened(entry.job)
 
     def hear_not_recorded(self, event: messages.NotRecorded) -> None:
         """Refuse what may not run without a record; nothing was sent."""
