--- a/features/steps/edge_fuzz_steps.py
+++ b/features/steps/edge_fuzz_steps.py
@@ -82,7 +82,7 @@
 
 def decode_body(sent):
     decoded = requests.decode_body(sent)
-    assert isinstance(decoded, submissions.SubmitBody | jobs.JobEnded)
+    assert isinstance(decoded, requests.SubmitBody | jobs.JobEnded)
 
 
 def parse_id(text):
