--- a/features/steps/edge_fuzz_steps.py
+++ b/features/steps/edge_fuzz_steps.py
@@ -10,7 +10,7 @@
 from guavaroad import settings
 from guavaroad.domain import identity, jobs
 from guavaroad.domain.configuration import document, merge_patch
-from guavaroad.services import submissions
+from guavaroad.services import requests
 
 strategies = hypothesis.strategies
 
@@ -81,8 +81,8 @@
 
 
 def decode_body(sent):
-    decoded = submissions.decode_body(sent)
-    assert isinstance(decoded, submissions.SubmitBody | jobs.JobEnded)
+    decoded = requests.decode_body(sent)
+    assert isinstance(decoded, requests.SubmitBody | jobs.JobEnded)
 
 
 def parse_id(text):
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -7,6 +7,7 @@
 from guavaroad import (
     composition,
     composition_dispatch,
+    composition_submissions,
     settings,
 )
 from guavaroad.adapters import (
@@ -41,8 +42,8 @@
         self.dispatcher = composition_dispatch.dispatcher(
             self.base, self.configuration
         )
-        self.submissions = composition.submission_service(
-            self.base, self.dispatcher, self.configuration
+        self.submissions = composition_submissions.submission_service(
+            self.base, self.platform, self.dispatcher, self.configuration
         )
         self.site = self.client_site()
         self.drain = composition.drain_service(
@@ -106,6 +107,7 @@
             'slots': self.slots.describe(),
             'membership': self.membership.describe(),
             'bus': self.bus.describe(),
+            'submissions': self.submissions.describe(),
         }
 
     def stop(self) -> None:
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -18,11 +18,8 @@
 from guavaroad.services import (
     configuration,
     directory,
-    dispatch,
     drain,
-    forwarding,
     membership,
-    outcomes,
     submissions,
 )
 
@@ -142,27 +139,6 @@
     )
 
 
-def submission_service(
-    base: Foundation,
-    dispatching: dispatch.Dispatcher,
-    configured: configuration.ConfigurationService,
-) -> submissions.SubmissionService:
-    """Return the owner of this incarnation's submissions."""
-    limits = base.settings.limits
-    return submissions.SubmissionService(
-        minter=submissions.Minter(
-            incarnation=base.incarnation, timer_service=base.timers
-        ),
-        dispatcher=dispatching,
-        forwarder=forwarding.Forwarder(
-            client=base.client, timeout_s=limits.attempt_timeout_s
-        ),
-        book=outcomes.OutcomeBook(kept_outcomes=limits.kept_outcomes),
-        configuration=configured.current,
-        default_deadline_s=limits.default_deadline_s,
-    )
-
-
 def client_site(
     base: Foundation, api: http_api.ApiResource
 ) -> http_api_site.ApiSite:
