--- a/packages/guavaroadctl/src/guavaroadctl/instances.py
+++ b/packages/guavaroadctl/src/guavaroadctl/instances.py
@@ -102,7 +102,7 @@
             shown, 'configuration.version', 'config_version'
         ),
         'queued_tasks': read(
-            shown, 'queues.queued_tasks', 'queues.tasks', 'queued_tasks'
+            shown, 'queues.queued_tasks', 'dispatch.queued_tasks'
         ),
         'epoch': read(shown, 'instance.epoch', 'epoch'),
         'problem': view.problem or read(shown, 'instance.why_not_ready'),
--- a/packages/guavaroadctl/src/guavaroadctl/upstreams.py
+++ b/packages/guavaroadctl/src/guavaroadctl/upstreams.py
@@ -51,9 +51,8 @@
 
 def records_of(state: Any) -> list[state_reading.Record]:
     """Return the upstreams of one dump."""
-    section = state_reading.value_at(state, 'upstreams')
-    listed = state_reading.value_at(section, 'list', 'upstreams')
-    return state_reading.entries(listed or section)
+    section = state_reading.value_at(state, 'upstreams', 'dispatch.slots')
+    return state_reading.entries(section)
 
 
 def merge(records: Iterable[state_reading.Record]) -> list[dict[str, Any]]:
