Say that an answer did not come in time

Cause: a wait that ran out was shown as `CancelledError`, since the agent wraps the cancellation and the error of `addTimeout` never arrives. Seen to fail first, with a fake instance that never answers.

--- a/features/ctl/line.feature
+++ b/features/ctl/line.feature
@@ -12,6 +12,13 @@
     Then it exits with 6
     And it notes "no instance reached: 127.0.0.1:"
 
+  Scenario: An instance that does not answer in time is named so
+    Given a fake instance
+    And the configuration is never answered
+    When guavaroadctl is called with "config show --request_timeout_s=0.5"
+    Then it exits with 4
+    And it notes "no answer in time"
+
   Scenario Outline: An answer of something else is told from an instance's
     Given a fake instance
     And every page is answered with a web page of a proxy
--- a/features/steps/ctl_steps.py
+++ b/features/steps/ctl_steps.py
@@ -171,6 +171,12 @@
     context.fake.on('GET', CONFIG_PATH, fakes.Says(body=body))
 
 
+@behave.given('the configuration is never answered')
+def given_silent(context):
+    held = fakes.Says(body={}, after=fakes.never)
+    context.fake.on('GET', CONFIG_PATH, held)
+
+
 @behave.given('a patch ends with a broken line')
 def given_patch_dropped(context):
     for fake in context.instances:
--- a/packages/guavaroad/src/guavaroad/adapters/http_client.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_client.py
@@ -57,6 +57,7 @@
 
 Exchange = Reply | NotSent | NoReply
 
+_TOO_LATE: Final = 'no answer in time'
 _UNTRUSTED: Final = 'certificate verify failed'
 _NOT_SENT_ERRORS: Final = (
     error.ConnectError,
@@ -180,9 +181,6 @@
             return await pending
         except _NOT_SENT_ERRORS as unsent:
             return NotSent(detail=_describe(unsent))
-        except defer.TimeoutError:
-            wait_s = round(call.timeout_s, 1)
-            return NoReply(detail=f'no answer within {wait_s} s')
         except Exception as broken:  # noqa: BLE001
             return _classify(broken)
 
@@ -258,6 +256,9 @@
 
 def _describe(failed: Any) -> str:
     broken = _root(failed)
+    # The wait ends a request by cancelling it.
+    if isinstance(broken, defer.CancelledError):
+        return _TOO_LATE
     if isinstance(broken, web_error.Error):
         return f'HTTP error {broken.status!r}'
     return f'{type(broken).__name__}: {broken}'.strip(': ')
