--- a/features/health/upstreams.feature
+++ b/features/health/upstreams.feature
@@ -4,7 +4,7 @@
     Given a dispatcher with 4 upstreams of 2 slots
     And upstream "up-0" fails every task at once
     When team "office" queues 200 normal jobs "render" of 1 tasks
-    And the tasks run for 2 s
+    And 2 s pass at the dispatcher
     Then upstream "up-0" is ejected
     And upstream "up-0" has started at most 9 tasks
 
@@ -12,11 +12,11 @@
     Given a dispatcher with 4 upstreams of 2 slots
     And upstream "up-0" fails every task at once
     When team "office" queues 200 normal jobs "render" of 1 tasks
-    And the tasks run for 3 s
+    And 3 s pass at the dispatcher
     And upstream "up-0" is mended
-    And the tasks run for 3 s
+    And 3 s pass at the dispatcher
     And team "office" queues 20 normal jobs "render" of 1 tasks
-    And the tasks run for 2 s
+    And 2 s pass at the dispatcher
     Then upstream "up-0" is healthy
 
   Scenario: No more than the bounded part is ejected
@@ -24,7 +24,7 @@
     And every upstream fails every task at once
     When team "office" queues 300 normal jobs "render" of 1 tasks
     And team "rival" queues 300 normal jobs "order" of 1 tasks
-    And the tasks run for 4 s
+    And 4 s pass at the dispatcher
     Then at most 3 upstreams are ejected
 
   Scenario: A job that fails everywhere is suspended and no upstream ejected
@@ -32,7 +32,7 @@
     And job "broken" fails on every upstream
     When team "office" queues 60 normal jobs "render" of 2 tasks
     And team "office" queues 100 normal jobs "broken" of 1 tasks
-    And the tasks run for 3 s
+    And 3 s pass at the dispatcher
     Then at most 0 upstreams are ejected
     And job "broken" is refused as suspended
     And job "render" is not refused
@@ -41,14 +41,14 @@
     Given a dispatcher with 4 upstreams of 2 slots
     When the upstreams "up-1 up-2 up-3" succeed 30 times each
     And the upstream "up-0" fails two times in three of 30
-    And the tasks run for 6 s
+    And 6 s pass at the dispatcher
     Then upstream "up-0" is ejected
 
   Scenario Outline: Nothing starts at an upstream after the first notice
     Given a dispatcher with 2 upstreams of 2 slots
     When <notice> that "up-0" leaves
     And team "office" queues 20 normal jobs "render" of 1 tasks
-    And the tasks run for 2 s
+    And 2 s pass at the dispatcher
     Then upstream "up-0" has started at most 0 tasks
     And 20 tasks have started
 
@@ -61,7 +61,7 @@
     Given a dispatcher with 2 upstreams of 2 slots
     And upstream "up-0" refuses every task because it leaves
     When team "office" queues 20 normal jobs "render" of 1 tasks
-    And the tasks run for 2 s
+    And 2 s pass at the dispatcher
     Then upstream "up-0" has started at most 2 tasks
     And the peers are told once that "up-0" leaves
 
@@ -70,5 +70,5 @@
     When a peer tells that "up-0" leaves
     And the platform lists every upstream as staying
     And team "office" queues 20 normal jobs "render" of 1 tasks
-    And the tasks run for 2 s
+    And 2 s pass at the dispatcher
     Then upstream "up-0" has started at most 0 tasks
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -12,6 +12,7 @@
 import behave
 
 from guavaroad import settings
+from guavaroad_standins import ports
 
 BASE = types.MappingProxyType(
     {
@@ -66,15 +67,18 @@
     write_settings(context, json.loads(text))
 
 
-@behave.given('the settings of an instance whose client port is taken')
-def given_taken_port(context):
+@behave.given('the settings of an instance whose {field} is taken')
+def given_taken_port(context, field):
     taken = socket.socket()
     context.add_cleanup(taken.close)
     taken.bind(('127.0.0.1', 0))
     taken.listen()
     port = taken.getsockname()[1]
     given_settings(context)
-    given_field(context, 'instance.client_address', f'"127.0.0.1:{port}"')
+    for name in ('client_address', 'peer_address'):
+        free = f'"127.0.0.1:{ports.free_port()}"'
+        given_field(context, f'instance.{name}', free)
+    given_field(context, f'instance.{field}', f'"127.0.0.1:{port}"')
 
 
 @behave.when('guavaroad checks them')
