--- a/bench/slots/__main__.py
+++ b/bench/slots/__main__.py
@@ -14,7 +14,7 @@
 
 BUILD: Final = pathlib.Path('build')
 SECONDS: Final = 4.5
-FLOOD_SECONDS: Final = 6
+FLOOD_SECONDS: Final = 5
 LOADS: Final = (0.3, 0.6, 0.85)
 HIGH_LOAD: Final = (0.85,)
 SEEDS: Final = (1, 2, 3)
--- a/bench/slots/runs.py
+++ b/bench/slots/runs.py
@@ -16,7 +16,7 @@
 
 TEAMS: Final = ('office', 'rival-a', 'rival-b', 'rival-c')
 _RUN_TIMEOUT_S: Final = 120
-_DEADLINE_MS: Final = 15_000
+_DEADLINE_MS: Final = 6_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -146,3 +146,28 @@
     assert [int(one.submission_id) for one in ended] == expected, ended
     outcomes = {one.code for one in world.settled.values()}
     assert outcomes == {codes.ResultCode.OVERLOADED}, outcomes
+
+
+@behave.when('a configuration sets {path} to {number:g}')
+def when_limit_set(context, path, number):
+    shares = {'urgent': 0.5, 'normal': 0.3, 'low': 0.2}
+    config = {
+        'classes': {name: {'share': part} for name, part in shares.items()},
+        'teams': {'office': {}},
+    }
+    *parents, last = path.split('.')
+    place = config
+    for parent in parents:
+        place = place[parent]
+    place[last] = number
+    context.checked = document.check_document(config)
+
+
+@behave.then('it is refused with a problem that names "{named}"')
+def then_problem_named(context, named):
+    match context.checked:
+        case document.Invalid():
+            problems = context.checked.problems
+            assert any(one.startswith(named) for one in problems), problems
+            return
+    raise AssertionError(context.checked)
