--- a/features/slots/leases.feature
+++ b/features/slots/leases.feature
@@ -47,3 +47,13 @@
     And 3 s pass in the fleet
     Then nothing has started at upstream "a-up-0"
     And instance 0 has no waiting task
+
+  Scenario: A burst at one instance of an idle fleet uses every slot
+    Given 9 instances in zone "a" with 24 upstreams of 8 slots
+    When 1 s pass in the fleet
+    And instance 0 queues 850 tasks of 200 ms
+    And 0.1 s pass in the fleet
+    Then instance 0 runs at least 190 tasks
+    When 1 s pass in the fleet
+    Then instance 0 has no waiting task
+    And no upstream was ever busy
