--- a/bench/slots/__main__.py
+++ b/bench/slots/__main__.py
@@ -1,12 +1,14 @@
-"""Compares ways to divide slots: `python -m bench.slots [ways|floods]`.
+"""Compares ways to divide slots: `python -m bench.slots [ways|pair|floods]`.
 
 Prints a table and writes the raw rows to `build/slots-*.json`.
 """
 
+import contextlib
 import dataclasses
 import itertools
 import pathlib
 import sys
+import types
 from typing import Any, Final
 
 import msgspec
@@ -40,6 +42,8 @@
     'normal flood',
     'three rivals',
 )
+PAIR: Final = (WAYS[0], DEFAULT_WAY)
+PAIR_LOADS: Final = (0.6, 0.85)
 # The tick matters most where slots are scarce.
 TICKS: Final = (WAYS[3], WAYS[5], WAYS[6])
 
@@ -71,6 +75,25 @@
     return rows
 
 
+def compare_pair() -> None:
+    """Run two ways turn by turn, so that both meet the same machine."""
+    rows = []
+    with contextlib.ExitStack() as stack:
+        systems = [
+            (way, stack.enter_context(runs.running(way))) for way in PAIR
+        ]
+        for load, seed in itertools.product(PAIR_LOADS, SEEDS):
+            stream = plans.Stream(load=load, seconds=SECONDS)
+            planned = plans.arrivals(stream, seed)
+            for way, system in systems:
+                run = runs.replay(system, planned)
+                row = tables.row_of(way.name, load, seed, run)
+                rows.append(row)
+                cells = dataclasses.astuple(row)
+                print(tables.shown(cells), flush=True)
+    save('pair', rows)
+
+
 def other_work(seed: int) -> list[plans.Arrival]:
     """Return the work that a flood must not harm."""
     stream = plans.Stream(load=OTHER_LOAD, seconds=FLOOD_SECONDS, group='other')
@@ -139,13 +162,17 @@
     path.write_bytes(msgspec.json.encode(rows))
 
 
+EXPERIMENTS: Final = types.MappingProxyType(
+    {'ways': compare_ways, 'pair': compare_pair, 'floods': run_floods}
+)
+
+
 def main() -> None:
     """Run what was asked for, everything without a word."""
     asked = sys.argv[1:]
-    if 'floods' not in asked:
-        compare_ways()
-    if 'ways' not in asked:
-        run_floods()
+    for name, experiment in EXPERIMENTS.items():
+        if not asked or name in asked:
+            experiment()
 
 
 if __name__ == '__main__':
