--- /dev/null
+++ b/features/steps/submission_ids_steps.py
@@ -0,0 +1,75 @@
+"""Steps about ids of submissions and the outcomes kept for them."""
+
+import behave
+import msgspec
+from twisted.internet import task
+
+from guavaroad.adapters import reactor_timers
+from guavaroad.domain import identity, jobs, names
+from guavaroad.services import outcomes
+from guavaroad.services.owning import minting
+
+TEAM = names.TeamName('office')
+
+
+def prepare(context, size, **bounds):
+    clock = task.Clock()
+    context.clock = clock
+    context.minter = minting.Minter(
+        incarnation=identity.Incarnation(
+            availability_zone=names.AvailabilityZone('a'),
+            address=names.ClientAddress('127.0.0.1:1'),
+            epoch=names.Epoch('e'),
+        ),
+        timer_service=reactor_timers.ReactorTimers(
+            clock=clock, wall_clock=clock.seconds
+        ),
+        id_lifetime_s=3600,
+    )
+    context.book = outcomes.OutcomeBook(**bounds)
+    context.ids = [context.minter.mint_parsed(TEAM) for _ in range(4)]
+    answer = msgspec.Raw(msgspec.json.encode('x' * size))
+    for parsed in context.ids[:3]:
+        submission_id = identity.format_id(parsed)
+        entry = outcomes.Entry(digest='d', sequence=parsed.sequence)
+        context.book.open(submission_id, entry)
+        context.book.close(submission_id, jobs.JobCompleted(answers=(answer,)))
+
+
+@behave.given(
+    'a book that keeps {count:d} outcomes and 3 submissions that ended'
+)
+def given_counted_book(context, count):
+    prepare(context, 1, kept_outcomes=count)
+
+
+@behave.given(
+    'a book that keeps {limit:d} bytes and 3 submissions of {size:d} bytes that ended'
+)
+def given_sized_book(context, limit, size):
+    prepare(context, size, kept_outcomes=100, kept_bytes=limit)
+
+
+@behave.when('{seconds:d} seconds pass at the minter')
+def when_time_passes(context, seconds):
+    context.clock.advance(seconds)
+
+
+@behave.then('the id {sequence:d} is refused as {code}')
+def then_id_refused(context, sequence, code):
+    minted = context.ids[0]
+    parsed = identity.ParsedId(
+        owner=minted.owner,
+        sequence=sequence,
+        minted_s=minted.minted_s,
+        team=TEAM,
+    )
+    assert context.book.find(identity.format_id(parsed)) is None
+    refusal = context.minter.refusal(parsed, context.book.horizon)
+    assert refusal.name == code, refusal
+
+
+@behave.then('the id {sequence:d} is answered from the book')
+def then_id_kept(context, sequence):
+    parsed = context.ids[sequence - 1]
+    assert context.book.find(identity.format_id(parsed)).outcome
--- a/features/steps/submission_model_steps.py
+++ b/features/steps/submission_model_steps.py
@@ -1,9 +1,12 @@
 """Steps of the model check of submissions."""
 
 import behave
+import hypothesis as drawing
+from hypothesis import strategies
 
 from models import submission_model
 
+MANY_FAULTS = 8
 ONE_OF_EACH = submission_model.Budget(crashes=1, faults=1, takeovers=1)
 NO_FAULTS = submission_model.Budget(crashes=0, faults=0, takeovers=1)
 
@@ -36,3 +39,39 @@
 @behave.then('it reports "{violation}"')
 def then_violation(context, violation):
     assert context.search.violation == violation, context.search
+
+
+@behave.when(
+    '{count:d} random orders of up to {length:d} actions are drawn, the same ones each time'
+)
+def when_random_orders(context, count, length):
+    context.taken = []
+    choices = strategies.lists(
+        strategies.integers(0, 1000), min_size=length // 2, max_size=length
+    )
+    modes = strategies.sampled_from(submission_model.Mode)
+    settings = drawing.settings(
+        max_examples=count, derandomize=True, database=None, deadline=None
+    )
+    run = drawing.given(mode=modes, numbers=choices)(
+        lambda mode, numbers: context.taken.append(walk(mode, numbers))
+    )
+    settings(run)()
+
+
+def walk(mode, numbers):
+    world = submission_model.World(mode=mode, fault=submission_model.Fault.NONE)
+    world.budget = submission_model.Budget(
+        crashes=1, faults=MANY_FAULTS, takeovers=MANY_FAULTS
+    )
+    for number in numbers:
+        actions = world.actions()
+        if actions:
+            world.act(*actions[number % len(actions)])
+    return world.starts
+
+
+@behave.then('none of them broke a promise')
+def then_no_promise_broken(context):
+    assert len(context.taken) >= 400, len(context.taken)
+    assert any(context.taken), 'no order started a task'
--- a/features/submissions/model.feature
+++ b/features/submissions/model.feature
@@ -20,3 +20,7 @@
       | takeover without compare-and-set | not run was not true |
       | retry after a lost answer        | a task started twice |
       | not run before the row says so   | not run was not true |
+
+  Scenario: Long random orders of many faults break no promise
+    When 400 random orders of up to 80 actions are drawn, the same ones each time
+    Then none of them broke a promise
