--- a/bench/submission_cost.py
+++ b/bench/submission_cost.py
@@ -25,6 +25,9 @@
 OPERATOR: Final = 'Bearer operator-secret'
 
 
+Written = tuple[int, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Case:
     """One way to run the jobs.
@@ -106,7 +109,7 @@
     ).decoded()
 
 
-def written(system: fleet.Fleet) -> tuple[int, int]:
+def written(system: fleet.Fleet) -> Written:
     """Return the transactions and rows of the records so far."""
     states = [
         state_of(one.address)['submissions']['records']
@@ -137,13 +140,19 @@
     processes.wait_until(lambda: all_written(system), 'the backlog', 60)
     whole_s = time.monotonic() - began
     show(case, ended, took_s)
-    after = written(system)
-    transactions, rows_made = (
+    show_writes(before, written(system), jobs, whole_s)
+
+
+def show_writes(
+    before: Written, after: Written, jobs: int, whole_s: float
+) -> None:
+    """Print what was written until the last record was in the table."""
+    transactions, rows = (
         late - early for late, early in zip(after, before, strict=True)
     )
-    a_job = round(rows_made / jobs, 3)
-    a_second = round(rows_made / whole_s, 1)
-    print(f'    transactions {transactions}, rows {rows_made}')
+    a_job = round(rows / jobs, 3)
+    a_second = round(rows / whole_s, 1)
+    print(f'    transactions {transactions}, rows {rows}')
     print(f'    {a_job} rows a job, {a_second} rows/s', flush=True)
 
 
