--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -9,7 +9,6 @@
     composition_dispatch,
     composition_submissions,
     settings,
-    settings_slots,
 )
 from guavaroad.adapters import (
     client_port,
@@ -18,8 +17,7 @@
     http_api_tokens,
     logs,
 )
-from guavaroad.ports import platform
-from guavaroad.services import dispatch, drain
+from guavaroad.services import drain
 
 _LOG: Final = logs.logger_of('app')
 
@@ -55,23 +53,13 @@
         self.drain.hooks.on_leaving.append(self.membership.leave)
         self.exit_code = 0
         self.membership.shown.load = self.queued_tasks
-        self.directory.on_change.append(self.upstreams_changed)
+        self.slots = composition_dispatch.slot_keeper(
+            self.base, self.dispatcher, self.bus, self.membership
+        )
+        self.directory.on_change.append(self.slots.list_changed)
+        self.drain.hooks.on_leaving.append(self.slots.drain)
         self.directory.on_change.append(self.membership.list_changed)
 
-    def upstreams_changed(self, listed: platform.InstanceList) -> None:
-        """Divide the listed upstreams among the listed instances."""
-        own = self.base.incarnation.address
-        addresses = {entry.address for entry in listed.entries} | {own}
-        index = sorted(addresses).index(own)
-        match self.base.settings.slots.mode:
-            case settings_slots.SlotMode.TWO_CHOICES:
-                uses = dispatch.static_uses(listed.upstreams, 0, 1)
-            case _:
-                uses = dispatch.static_uses(
-                    listed.upstreams, index, len(addresses)
-                )
-        self.dispatcher.set_upstreams(uses)
-
     def queued_tasks(self) -> int:
         """Return the tasks that wait here."""
         return self.dispatcher.queue.task_count
@@ -115,8 +103,9 @@
             'address': incarnation.address,
             'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
-            'membership': self.membership.describe(),
             'dispatch': self.dispatcher.describe(),
+            'slots': self.slots.describe(),
+            'membership': self.membership.describe(),
             'bus': self.bus.describe(),
             'submissions': self.submissions.describe(),
         }
--- a/packages/guavaroad/src/guavaroad/composition_dispatch.py
+++ b/packages/guavaroad/src/guavaroad/composition_dispatch.py
@@ -4,10 +4,23 @@
 
 from guavaroad import composition, settings_slots
 from guavaroad.adapters import http_upstreams
+from guavaroad.domain import names
 from guavaroad.domain.health import rules
 from guavaroad.domain.scheduling import admission
-from guavaroad.domain.slots import table
-from guavaroad.services import configuration, dispatch, health
+from guavaroad.domain.slots import messages, table
+from guavaroad.ports import peers
+from guavaroad.services import (
+    allocation,
+    configuration,
+    dispatch,
+    equal_slots,
+    health,
+    slots,
+)
+
+_MS = 1000
+
+Keeper = slots.SlotService | equal_slots.EqualSlots
 
 
 def dispatcher(
@@ -17,7 +30,7 @@
     """Return the part that starts queued tasks."""
     limits = base.settings.limits
     chooser = random.Random()
-    slots = table.SlotTable(
+    slot_table = table.SlotTable(
         chooser=chooser,
         two_choices=base.settings.slots.mode
         is settings_slots.SlotMode.TWO_CHOICES,
@@ -27,9 +40,9 @@
             client=base.client, attempt_timeout_s=limits.attempt_timeout_s
         ),
         timer_service=base.timers,
-        slots=slots,
+        slots=slot_table,
         health_service=health.HealthService(
-            slots=slots, timer_service=base.timers, bounds=rules.Rules()
+            slots=slot_table, timer_service=base.timers, bounds=rules.Rules()
         ),
         bounds=admission.Bounds(
             tasks=limits.queued_tasks, size_bytes=limits.queued_bytes
@@ -37,3 +50,81 @@
         chooser=chooser,
         configuration=configured.current,
     )
+
+
+def slot_keeper(
+    base: composition.Foundation,
+    dispatching: dispatch.Dispatcher,
+    bus: peers.PeerBus,
+    members: peers.MembershipPort,
+) -> Keeper:
+    """Return the part that decides which slots this instance may fill."""
+    tell_leaving(dispatching.health, bus, members)
+    mode = base.settings.slots.mode
+    match mode:
+        case settings_slots.SlotMode.STATIC:
+            return equal_slots.EqualSlots(
+                dispatcher=dispatching, own=base.incarnation.address
+            )
+        case settings_slots.SlotMode.TWO_CHOICES:
+            return equal_slots.EqualSlots(dispatcher=dispatching, own=None)
+    return leases(base, dispatching, bus, members)
+
+
+def leases(
+    base: composition.Foundation,
+    dispatching: dispatch.Dispatcher,
+    bus: peers.PeerBus,
+    members: peers.MembershipPort,
+) -> slots.SlotService:
+    """Return the holder of leased slots."""
+    chosen = base.settings.slots
+    moves = chosen.mode is settings_slots.SlotMode.LEASES
+    zones = map(names.AvailabilityZone, chosen.nearest_zones)
+    allocating = allocation.Allocating(
+        zone=base.incarnation.availability_zone,
+        timer_service=base.timers,
+        tick_s=chosen.tick_ms / _MS,
+        lease_s=chosen.lease_s,
+        moves=moves,
+    )
+    return slots.SlotService(
+        dispatcher=dispatching,
+        timer_service=base.timers,
+        links=allocation.Links(
+            own=own_peer(base),
+            nearest_zones=tuple(zones),
+            bus=bus,
+            members=members,
+            timer_service=base.timers,
+            allocating=allocating,
+        ),
+        times=slots.LeaseTimes(
+            tick_s=chosen.tick_ms / _MS,
+            lease_s=chosen.lease_s,
+            linger_s=chosen.linger_s,
+            fallback_s=chosen.fallback_s,
+            stock=chosen.stock,
+        ),
+        moves=moves,
+    )
+
+
+def own_peer(base: composition.Foundation) -> peers.Peer:
+    """Return this instance as its peers see it."""
+    return peers.Peer(
+        incarnation=base.incarnation,
+        peer_address=names.PeerAddress(base.settings.instance.peer_address),
+        state=peers.PeerState.ALIVE,
+    )
+
+
+def tell_leaving(
+    health_service: health.HealthService,
+    bus: peers.PeerBus,
+    members: peers.MembershipPort,
+) -> None:
+    """Pass on notices of leaving upstreams, and take those of peers."""
+    teller = slots.LeavingTeller(bus=bus, members=members)
+    health_service.on_notice.append(teller.tell)
+    bus.subscribe(messages.LeavingNotice, health_service.notice_came)
--- a/packages/guavaroad/src/guavaroad/services/health.py
+++ b/packages/guavaroad/src/guavaroad/services/health.py
@@ -13,8 +13,8 @@
     rules,
     upstream_book,
 )
-from guavaroad.domain.slots import table
-from guavaroad.ports import timers
+from guavaroad.domain.slots import messages, table
+from guavaroad.ports import peers, timers
 
 _LOG: Final = loguru.logger.bind(part='health')
 _TICK_S: Final = 0.25
@@ -52,9 +52,15 @@
         self.leaving.follow(known, self.timers.now())
         self.apply()
 
-    def leaving_told(self, name: names.UpstreamName, address: str) -> None:
+    def notice_came(
+        self, _: peers.Peer, notice: messages.LeavingNotice
+    ) -> None:
         """Take the notice of a peer that an upstream leaves."""
-        self.take_notice(name, address, leaving_book.NoticeSource.PEER)
+        name = names.UpstreamName(notice.upstream)
+        known = self.slots.uses.get(name)
+        if known is not None and known.upstream.address == notice.address:
+            source = leaving_book.NoticeSource.PEER
+            self.take_notice(name, notice.address, source)
 
     def take_notice(
         self,
