Count and time requests, attempts and platform calls

Parts see a narrow port; the prometheus objects stay in one adapter, in a registry of the application, with the library's collectors of the process. Upstream and platform ports are wrapped, so no part calls the metrics on its way. Gauges read the counts of the parts when the page is read.

--- a/features/steps/edge_support.py
+++ b/features/steps/edge_support.py
@@ -108,7 +108,7 @@
         self.app.open_client_port()
         self.site = self.reactor.tcpServers[0][1]
         self.upstreams = FakeUpstreams()
-        self.app.dispatcher.port = self.upstreams
+        self.app.dispatcher.port.inner = self.upstreams
         self.app.configuration.adopt(
             configuration.Head(version=1, document=document())
         )
--- a/packages/guavaroad/src/guavaroad/adapters/http_api.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api.py
@@ -5,7 +5,6 @@
 from typing import Any, Final
 
 import msgspec
-import prometheus_client
 from twisted.internet import defer
 from twisted.python import failure
 from twisted.web import http, resource, server
@@ -18,6 +17,7 @@
     logs,
 )
 from guavaroad.domain import codes, json_input
+from guavaroad.ports import metrics, timers
 from guavaroad.services import answers, configuration, submissions
 
 _MAX_ID_BLOCK: Final = 10_000
@@ -33,12 +33,12 @@
         submission_service: submissions.SubmissionService,
         configuration_service: configuration.ConfigurationService,
         state: Callable[[], Any],
-        registry: prometheus_client.CollectorRegistry,
+        metrics_page: Callable[[], bytes],
     ) -> None:
         self.submissions = submission_service
         self.configuration = configuration_service
         self.state = state
-        self.registry = registry
+        self.metrics_page = metrics_page
 
     def alive(self, _: http_api_routes.Visit) -> answers.Answer:
         """Answer that the loop turns."""
@@ -56,10 +56,7 @@
 
     def metrics(self, _: http_api_routes.Visit) -> answers.Answer:
         """Answer with the metrics as text."""
-        return answers.Answer(
-            status=http.OK,
-            body=prometheus_client.generate_latest(self.registry),
-        )
+        return answers.Answer(status=http.OK, body=self.metrics_page())
 
     def mint(self, visit: http_api_routes.Visit) -> answers.Answer:
         """Mint a block of submission ids."""
@@ -140,8 +137,12 @@
         *,
         tokens: http_api_tokens.Tokens,
         routes: http_api_routes.RouteTable,
+        sink: metrics.MetricsPort,
+        timer_service: timers.TimerService,
     ) -> None:
         super().__init__()
+        self.metrics = sink
+        self.timers = timer_service
         self.tokens = tokens
         self.routes = routes
 
@@ -151,10 +152,18 @@
         gone.addErrback(lambda _: None)
         pending = defer.maybeDeferred(self.answer, request)
         pending.addErrback(internal_error)
+        pending.addCallback(self.count, self.timers.now())
         pending.addCallback(http_api_writing.send, request)
         pending.addErrback(log_broken)
         return server.NOT_DONE_YET
 
+    def count(self, answer: answers.Answer, started_s: float) -> answers.Answer:
+        """Count an answer and the time it took."""
+        self.metrics.request_answered(
+            answer.code, self.timers.now() - started_s
+        )
+        return answer
+
     def answer(self, request: server.Request) -> Any:
         """Find the page and hand the request to its handler."""
         method = bytes(request.method).decode('ascii', errors='replace')
--- a/packages/guavaroad/src/guavaroad/adapters/http_client.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_client.py
@@ -149,6 +149,7 @@
         self.pool.cachedConnectionTimeout = _IDLE_CONNECTION_S
         # A resend by the library could start a task twice.
         self.pool.retryAutomatically = False
+        self.in_flight = 0
         self.agent = client.Agent(
             reactor, connectTimeout=connect_timeout_s, pool=self.pool
         )
@@ -164,12 +165,21 @@
         """
         pending = defer.ensureDeferred(self.send(call))
         pending.addTimeout(call.timeout_s, self.reactor)
+        self.in_flight += 1
         try:
             return await pending
         except _NOT_SENT_ERRORS as unsent:
             return NotSent(detail=_describe(unsent))
         except Exception as broken:  # noqa: BLE001
             return NoReply(detail=_describe(broken))
+        finally:
+            self.in_flight -= 1
+
+    def connection_count(self) -> int:
+        """Return the connections in use and those kept for the next use."""
+        # The library has no public count of those it keeps.
+        kept = self.pool._connections.values()
+        return self.in_flight + sum(map(len, kept))
 
     async def send(self, call: Call) -> Reply:
         """Send a request; raises what the agent raises."""
--- a/packages/guavaroad/src/guavaroad/adapters/http_platform.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_platform.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer
 from twisted.web import http
 
-from guavaroad.adapters import http_client, platform_wire
+from guavaroad.adapters import http_client, metered, platform_wire
 from guavaroad.domain import names
 from guavaroad.ports import platform, upstreams
 
@@ -16,7 +16,7 @@
     """Requests to the platform's one endpoint."""
 
     def __init__(
-        self, *, client: http_client.HttpClient, url: str, timeout_s: float
+        self, *, client: metered.Exchanger, url: str, timeout_s: float
     ) -> None:
         self.client = client
         self.url = url.rstrip('/')
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -2,14 +2,13 @@
 
 from typing import Any, Final
 
-import prometheus_client
-
-from guavaroad import composition, settings
+from guavaroad import client_port, composition, settings
 from guavaroad.adapters import (
     http_api,
     http_api_site,
     http_api_tokens,
     logs,
+    metered,
 )
 from guavaroad.ports import platform
 from guavaroad.services import dispatch, drain
@@ -38,7 +37,8 @@
             self.base, self.dispatcher, self.configuration
         )
         self.site = self.client_site()
-        self.drain = composition.drain_service(
+        self.watch_counts()
+        self.drain = client_port.drain_service(
             self.base, self.submissions, self.site
         )
         self.drain.ended.addCallback(self.stopped)
@@ -51,23 +51,53 @@
             dispatch.static_uses(listed.upstreams, len(listed.entries))
         )
 
+    def watch_counts(self) -> None:
+        """Show the present counts of the parts as gauges."""
+        sink = self.base.metrics
+        self.dispatcher.on_enqueue.append(sink.tasks_queued)
+        sink.watch(
+            'submissions_open',
+            'Submissions that have not ended.',
+            self.submissions.book.open_count,
+        )
+        sink.watch(
+            'tasks_waiting',
+            'Tasks that wait for a slot.',
+            lambda: self.dispatcher.queue.task_count,
+        )
+        sink.watch(
+            'client_connections',
+            'Open connections of the client port.',
+            self.site.connection_count,
+        )
+        sink.watch(
+            'outgoing_connections',
+            'Connections to upstreams, peers and the platform.',
+            self.base.client.connection_count,
+        )
+
     def client_site(self) -> http_api_site.ApiSite:
         """Return the site of the client port."""
         pages = http_api.Pages(
             submission_service=self.submissions,
             configuration_service=self.configuration,
             state=self.state,
-            registry=prometheus_client.REGISTRY,
+            metrics_page=self.base.metrics.page,
         )
         api = http_api.ApiResource(
             tokens=http_api_tokens.Tokens(tokens=self.base.settings.tokens),
             routes=http_api.route_table(pages),
+            sink=self.base.metrics,
+            timer_service=self.base.timers,
         )
-        return composition.client_site(self.base, api)
+        return client_port.client_site(self.base, api)
 
     def listen(self) -> None:
         """Open the ports and begin to follow the platform."""
         self.open_client_port()
+        metered.LoopLag(
+            sink=self.base.metrics, timer_service=self.base.timers
+        ).sample()
         self.bus.start()
         self.configuration.refresh()
         self.directory.refresh()
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -6,11 +6,11 @@
 
 from guavaroad import settings
 from guavaroad.adapters import (
-    http_api,
-    http_api_site,
     http_client,
     http_platform,
     http_upstreams,
+    metered,
+    metrics,
     nng_peers,
     peer_wire,
     reactor_timers,
@@ -20,7 +20,6 @@
     configuration,
     directory,
     dispatch,
-    drain,
     forwarding,
     outcomes,
     submissions,
@@ -40,6 +39,7 @@
         timers: Timer service on the loop.
         incarnation: This life of this process.
         client: Outgoing HTTP connections.
+        metrics: What the parts count and time.
     """
 
     reactor: Any
@@ -47,6 +47,7 @@
     timers: reactor_timers.ReactorTimers
     incarnation: identity.Incarnation
     client: http_client.HttpClient
+    metrics: metrics.PrometheusMetrics
 
 
 def foundation(reactor: Any, chosen: settings.Settings) -> Foundation:
@@ -61,6 +62,7 @@
             connections_per_host=connection_share(chosen.limits),
             connect_timeout_s=_CONNECT_TIMEOUT_S,
         ),
+        metrics=metrics.PrometheusMetrics(),
     )
 
 
@@ -81,8 +83,11 @@
 def platform_link(base: Foundation) -> http_platform.PlatformLink:
     """Return the way to the platform."""
     chosen = base.settings.platform
+    client = metered.MeteredExchanger(
+        inner=base.client, sink=base.metrics, timer_service=base.timers
+    )
     return http_platform.PlatformLink(
-        client=base.client, url=chosen.url, timeout_s=chosen.timeout_s
+        client=client, url=chosen.url, timeout_s=chosen.timeout_s
     )
 
 
@@ -124,13 +129,23 @@
     )
 
 
+def upstream_port(base: Foundation) -> metered.MeteredUpstreams:
+    """Return the way to the upstreams."""
+    return metered.MeteredUpstreams(
+        inner=http_upstreams.HttpUpstreams(
+            client=base.client,
+            attempt_timeout_s=base.settings.limits.attempt_timeout_s,
+        ),
+        sink=base.metrics,
+        timer_service=base.timers,
+    )
+
+
 def dispatcher(base: Foundation) -> dispatch.Dispatcher:
     """Return the part that starts queued tasks."""
     limits = base.settings.limits
     return dispatch.Dispatcher(
-        port=http_upstreams.HttpUpstreams(
-            client=base.client, attempt_timeout_s=limits.attempt_timeout_s
-        ),
+        port=upstream_port(base),
         timer_service=base.timers,
         max_queued_tasks=limits.queued_tasks,
     )
@@ -155,38 +170,3 @@
         configuration=configured.current,
         default_deadline_s=limits.default_deadline_s,
     )
-
-
-def client_site(
-    base: Foundation, api: http_api.ApiResource
-) -> http_api_site.ApiSite:
-    """Return the bounded site of the client port."""
-    limits = base.settings.limits
-    return http_api_site.ApiSite(
-        root=api,
-        reactor=base.reactor,
-        timer_service=base.timers,
-        bounds=http_api_site.Bounds(
-            body_bytes=limits.body_bytes,
-            held_body_bytes=limits.held_body_bytes,
-            connections=limits.connections,
-            request_timeout_s=limits.request_timeout_s,
-        ),
-    )
-
-
-def drain_service(
-    base: Foundation,
-    submitted: submissions.SubmissionService,
-    site: http_api_site.ApiSite,
-) -> drain.DrainService:
-    """Return the planned stop, with what it waits for."""
-    service = drain.DrainService(
-        timer_service=base.timers, bound_s=base.settings.drain_s
-    )
-    service.hooks.on_leaving.extend((submitted.refuse_new, site.leave))
-    service.hooks.on_closing.append(site.close_connections)
-    service.watch('submissions', submitted.book.open_count)
-    service.watch('requests', site.requests_in_progress)
-    service.watch('connections', site.connection_count, drain.Phase.CLOSING)
-    return service
--- a/packages/guavaroad/src/guavaroad/services/answers.py
+++ b/packages/guavaroad/src/guavaroad/services/answers.py
@@ -53,11 +53,13 @@
         status: HTTP status.
         body: Encoded `AnswerBody`.
         retry_after_s: Seconds for the Retry-After header; 0 for none.
+        code: Result code; 0 for a page or an answer of a peer.
     """
 
     status: int
     body: bytes
     retry_after_s: float = 0
+    code: int = 0
 
 
 def plain(
@@ -154,4 +156,5 @@
         status=codes.facts_of(code).http_status,
         body=msgspec.json.encode(body),
         retry_after_s=body.retry_after_s,
+        code=body.code,
     )
--- a/packages/guavaroad/src/guavaroad/services/dispatch.py
+++ b/packages/guavaroad/src/guavaroad/services/dispatch.py
@@ -46,6 +46,7 @@
         self.timers = timer_service
         self.max_queued_tasks = max_queued_tasks
         self.queue = queues.JobQueue()
+        self.on_enqueue: list[Callable[[int], object]] = []
         self.uses: dict[names.UpstreamName, UpstreamUse] = {}
         self.callbacks: dict[names.SubmissionId, Settled] = {}
         self.deadlines: dict[names.SubmissionId, timers.Timer] = {}
@@ -70,6 +71,8 @@
             lambda: self.give_up(job, codes.ResultCode.DEADLINE_PASSED),
         )
         self.queue.add(job)
+        for enqueued in self.on_enqueue:
+            enqueued(len(job.slots))
         self.pump()
 
     def give_up(
