Compose the state dump of sections that explain themselves

Each part describes itself in a typed struct; a part that fails costs its own section alone. Decisions are kept in a ring with their reasons; a repeat is counted with the one before, so that a loop of one decision can't push the others out. The version moved to configuration.version.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -10,7 +10,7 @@
 
 def config_version(address):
     reply = calls.call('GET', address, '/v1/state', headers=operator())
-    return reply.decoded()['config_version']
+    return reply.decoded()['configuration']['version']
 
 
 def serves_version(address, version):
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Final
 
-from guavaroad import client_port, composition, settings
+from guavaroad import client_port, composition, settings, state_dump
 from guavaroad.adapters import (
     http_api,
     http_api_site,
@@ -11,7 +11,7 @@
     metered,
 )
 from guavaroad.ports import platform
-from guavaroad.services import dispatch, drain
+from guavaroad.services import dispatch, drain, state
 
 _LOG: Final = logs.logger_of('app')
 
@@ -36,6 +36,7 @@
         self.submissions = composition.submission_service(
             self.base, self.dispatcher, self.configuration
         )
+        self.dump = state.StateDump()
         self.site = self.client_site()
         self.watch_counts()
         self.drain = client_port.drain_service(
@@ -43,6 +44,8 @@
         )
         self.drain.ended.addCallback(self.stopped)
         self.exit_code = 0
+        self.describe_parts()
+        self.configuration.on_change.append(self.configuration_changed)
         self.directory.on_change.append(self.upstreams_changed)
 
     def upstreams_changed(self, listed: platform.InstanceList) -> None:
@@ -81,7 +84,7 @@
         pages = http_api.Pages(
             submission_service=self.submissions,
             configuration_service=self.configuration,
-            state=self.state,
+            state=self.dump.dump,
             metrics_page=self.base.metrics.page,
         )
         api = http_api.ApiResource(
@@ -111,26 +114,28 @@
         )
         self.drain.hooks.on_closing.append(port.stopListening)
 
-    def state(self) -> dict[str, Any]:
-        """Return the dump of this process's state."""
+    def describe_parts(self) -> None:
+        """Compose the dump of this process's state."""
+        instance = state_dump.InstanceDescription(
+            base=self.base, configured=self.configuration, stop=self.drain
+        )
+        self.dump.add('instance', instance.describe)
+        state_dump.add_surroundings(
+            self.dump, self.base, self.configuration, self.bus
+        )
+        state_dump.add_work(
+            self.dump, self.base, self.submissions.book, self.dispatcher
+        )
+
+    def configuration_changed(self) -> None:
+        """Note which version came into force."""
         known = self.configuration.in_force
-        incarnation = self.base.incarnation
-        return {
-            'availability_zone': incarnation.availability_zone,
-            'address': incarnation.address,
-            'epoch': incarnation.epoch,
-            'config_version': known.version if known else None,
-            'bus': self.bus.describe(),
-            'queued_tasks': self.dispatcher.queue.task_count,
-            'upstreams': [
-                {
-                    'name': use.upstream.name,
-                    'share': use.share,
-                    'running': use.running,
-                }
-                for use in self.dispatcher.uses.values()
-            ],
-        }
+        version = known.version if known else None
+        self.base.decisions.note(
+            'configuration',
+            f'version {version} is in force',
+            'it is newer than the version before',
+        )
 
     def stop(self) -> None:
         """Begin the planned stop; a second call ends it."""
--- a/packages/guavaroad/src/guavaroad/client_port.py
+++ b/packages/guavaroad/src/guavaroad/client_port.py
@@ -30,7 +30,9 @@
 ) -> drain.DrainService:
     """Return the planned stop, with what it waits for."""
     service = drain.DrainService(
-        timer_service=base.timers, bound_s=base.settings.drain_s
+        timer_service=base.timers,
+        bound_s=base.settings.drain_s,
+        decisions=base.decisions,
     )
     service.hooks.on_leaving.extend((submitted.refuse_new, site.leave))
     service.hooks.on_closing.append(site.close_connections)
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -18,6 +18,7 @@
 from guavaroad.domain import identity, names
 from guavaroad.services import (
     configuration,
+    decisions,
     directory,
     dispatch,
     forwarding,
@@ -40,6 +41,7 @@
         incarnation: This life of this process.
         client: Outgoing HTTP connections.
         metrics: What the parts count and time.
+        decisions: Recent decisions with their reasons.
     """
 
     reactor: Any
@@ -48,14 +50,16 @@
     incarnation: identity.Incarnation
     client: http_client.HttpClient
     metrics: metrics.PrometheusMetrics
+    decisions: decisions.Decisions
 
 
 def foundation(reactor: Any, chosen: settings.Settings) -> Foundation:
     """Return what the parts share."""
+    timer_service = reactor_timers.ReactorTimers(clock=reactor)
     return Foundation(
         reactor=reactor,
         settings=chosen,
-        timers=reactor_timers.ReactorTimers(clock=reactor),
+        timers=timer_service,
         incarnation=new_incarnation(chosen.instance),
         client=http_client.HttpClient(
             reactor=reactor,
@@ -63,6 +67,7 @@
             connect_timeout_s=_CONNECT_TIMEOUT_S,
         ),
         metrics=metrics.PrometheusMetrics(),
+        decisions=decisions.Decisions(timer_service=timer_service),
     )
 
 
--- a/packages/guavaroad/src/guavaroad/services/drain.py
+++ b/packages/guavaroad/src/guavaroad/services/drain.py
@@ -18,6 +18,7 @@
 
 from guavaroad.adapters import logs
 from guavaroad.ports import timers
+from guavaroad.services import decisions
 
 CHECK_PERIOD_S: Final = 0.05
 LAST_CALL_S: Final = 1
@@ -123,9 +124,14 @@
     """
 
     def __init__(
-        self, *, timer_service: timers.TimerService, bound_s: float
+        self,
+        *,
+        timer_service: timers.TimerService,
+        bound_s: float,
+        decisions: decisions.Decisions,
     ) -> None:
         self.timers = timer_service
+        self.decisions = decisions
         self.bound_s = bound_s
         self.hooks = Hooks()
         self.watched: list[Watched] = []
@@ -164,6 +170,7 @@
     def begin(self) -> None:
         """Refuse new work and wait for what is in progress."""
         _LOG.info('planned stop begins')
+        self.decisions.note('drain', 'planned stop', 'a signal came')
         self.started_s = self.timers.now()
         last_call_s = max(0, self.bound_s - LAST_CALL_S)
         self.phase = Phase.FINISHING
