--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -2,8 +2,9 @@
 
 from typing import Any, Final
 
-from guavaroad import client_port, composition, settings, state_dump
+from guavaroad import composition, front, settings, state_dump
 from guavaroad.adapters import (
+    client_port,
     http_api,
     http_api_site,
     http_api_tokens,
@@ -28,6 +29,7 @@
         self.base = composition.foundation(reactor, chosen)
         self.platform = composition.platform_link(self.base)
         self.bus = composition.peer_bus(self.base)
+        self.membership = composition.membership_service(self.base, self.bus)
         self.configuration = composition.configuration_service(
             self.base, self.platform
         )
@@ -38,15 +40,18 @@
         )
         self.dump = state.StateDump()
         self.site = self.client_site()
-        self.watch_counts()
-        self.drain = client_port.drain_service(
-            self.base, self.submissions, self.site
+        front.watch_counts(
+            self.base, self.site, self.submissions, self.dispatcher
         )
+        self.drain = front.drain_service(self.base, self.submissions, self.site)
         self.drain.ended.addCallback(self.stopped)
+        self.drain.hooks.on_leaving.append(self.membership.leave)
         self.exit_code = 0
         self.describe_parts()
         self.configuration.on_change.append(self.configuration_changed)
+        self.membership.shown.load = self.queued_tasks
         self.directory.on_change.append(self.upstreams_changed)
+        self.directory.on_change.append(self.membership.list_changed)
 
     def upstreams_changed(self, listed: platform.InstanceList) -> None:
         """Divide the listed upstreams among the listed instances."""
@@ -54,30 +59,9 @@
             dispatch.static_uses(listed.upstreams, len(listed.entries))
         )
 
-    def watch_counts(self) -> None:
-        """Show the present counts of the parts as gauges."""
-        sink = self.base.metrics
-        self.dispatcher.on_enqueue.append(sink.tasks_queued)
-        sink.watch(
-            'submissions_open',
-            'Submissions that have not ended.',
-            self.submissions.book.open_count,
-        )
-        sink.watch(
-            'tasks_waiting',
-            'Tasks that wait for a slot.',
-            lambda: self.dispatcher.queue.task_count,
-        )
-        sink.watch(
-            'client_connections',
-            'Open connections of the client port.',
-            self.site.connection_count,
-        )
-        sink.watch(
-            'outgoing_connections',
-            'Connections to upstreams, peers and the platform.',
-            self.base.client.connection_count,
-        )
+    def queued_tasks(self) -> int:
+        """Return the tasks that wait here."""
+        return self.dispatcher.queue.task_count
 
     def client_site(self) -> http_api_site.ApiSite:
         """Return the site of the client port."""
@@ -93,7 +77,7 @@
             sink=self.base.metrics,
             timer_service=self.base.timers,
         )
-        return client_port.client_site(self.base, api)
+        return front.client_site(self.base, api)
 
     def listen(self) -> None:
         """Open the ports and begin to follow the platform."""
@@ -102,15 +86,15 @@
             sink=self.base.metrics, timer_service=self.base.timers
         ).sample()
         self.bus.start()
+        self.membership.start()
         self.configuration.refresh()
         self.directory.refresh()
         _LOG.info('listening on {}', self.base.incarnation.address)
 
     def open_client_port(self) -> None:
         """Open the port for clients, operators and forwarding peers."""
-        host, _, number = self.base.incarnation.address.rpartition(':')
-        port = self.base.reactor.listenTCP(
-            int(number), self.site, interface=host
+        port = client_port.listen(
+            self.base.reactor, self.base.settings, self.site
         )
         self.drain.hooks.on_closing.append(port.stopListening)
 
@@ -123,6 +107,7 @@
         state_dump.add_surroundings(
             self.dump, self.base, self.configuration, self.bus
         )
+        self.dump.add('membership', self.membership.describe)
         state_dump.add_work(
             self.dump, self.base, self.submissions.book, self.dispatcher
         )
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -22,6 +22,7 @@
     directory,
     dispatch,
     forwarding,
+    membership,
     outcomes,
     submissions,
 )
@@ -65,6 +66,8 @@
             reactor=reactor,
             connections_per_host=connection_share(chosen.limits),
             connect_timeout_s=_CONNECT_TIMEOUT_S,
+            trust=chosen.tls.trust() if chosen.tls else None,
+            instance_scheme='https' if chosen.tls else 'http',
         ),
         metrics=metrics.PrometheusMetrics(),
         decisions=decisions.Decisions(timer_service=timer_service),
@@ -112,6 +115,20 @@
     )
 
 
+def membership_service(
+    base: Foundation, bus: nng_peers.NngBus
+) -> membership.MembershipService:
+    """Return the view of live instances."""
+    chosen = base.settings
+    return membership.MembershipService(
+        own=base.incarnation,
+        peer_address=names.PeerAddress(chosen.instance.peer_address),
+        bus=bus,
+        timer_service=base.timers,
+        seeds=tuple(map(names.PeerAddress, chosen.peers)),
+    )
+
+
 def configuration_service(
     base: Foundation, link: http_platform.PlatformLink
 ) -> configuration.ConfigurationService:
--- a/packages/guavaroad/src/guavaroad/client_port.py
+++ b/packages/guavaroad/src/guavaroad/front.py
@@ -2,7 +2,7 @@
 
 from guavaroad import composition
 from guavaroad.adapters import http_api, http_api_site
-from guavaroad.services import drain, submissions
+from guavaroad.services import dispatch, drain, submissions
 
 
 def client_site(
@@ -40,3 +40,34 @@
     service.watch('requests', site.requests_in_progress)
     service.watch('connections', site.connection_count, drain.Phase.CLOSING)
     return service
+
+
+def watch_counts(
+    base: composition.Foundation,
+    site: http_api_site.ApiSite,
+    submitted: submissions.SubmissionService,
+    dispatcher: dispatch.Dispatcher,
+) -> None:
+    """Show the present counts of the parts as gauges."""
+    sink = base.metrics
+    dispatcher.on_enqueue.append(sink.tasks_queued)
+    sink.watch(
+        'submissions_open',
+        'Submissions that have not ended.',
+        submitted.book.open_count,
+    )
+    sink.watch(
+        'tasks_waiting',
+        'Tasks that wait for a slot.',
+        lambda: dispatcher.queue.task_count,
+    )
+    sink.watch(
+        'client_connections',
+        'Open connections of the client port.',
+        site.connection_count,
+    )
+    sink.watch(
+        'outgoing_connections',
+        'Connections to upstreams, peers and the platform.',
+        base.client.connection_count,
+    )
