--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	$(BIN)/python tools/demo.py
 
 bench: setup
-	$(BIN)/python bench/run.py
+	$(BIN)/python -m bench.run
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/bench/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of one entry instance: latency, starts, idle use, start-up."""
--- a/features/steps/edge_state_steps.py
+++ b/features/steps/edge_state_steps.py
@@ -66,7 +66,7 @@
     ' of class {urgency} and team {team}'
 )
 def then_queue(context, waiting, running, urgency, team):
-    line = context.dump['queues'][0]
+    line = context.dump['queues']['by_class_and_team'][0]
     assert (line['urgency'], line['team']) == (urgency, team)
     assert (line['waiting'], line['running']) == (waiting, running)
 
--- a/packages/guavaroad/src/guavaroad/services/state_sections.py
+++ b/packages/guavaroad/src/guavaroad/services/state_sections.py
@@ -10,6 +10,7 @@
 from guavaroad.services import configuration, dispatch, drain, outcomes
 
 SHOWN_SUBMISSIONS: Final = 200
+_LISTED_LEAVING: Final = "the platform's list says it is leaving"
 
 
 class InstanceSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -78,24 +79,6 @@
     shown: tuple[SubmissionLine, ...]
 
 
-class QueueLine(msgspec.Struct, frozen=True, kw_only=True):
-    """Work of one class and team.
-
-    Attributes:
-        urgency: Urgency class.
-        team: Team.
-        jobs: Jobs with waiting or running tasks.
-        waiting: Tasks that wait.
-        running: Tasks that run.
-    """
-
-    urgency: str
-    team: str
-    jobs: int
-    waiting: int
-    running: int
-
-
 class SlotLine(msgspec.Struct, frozen=True, kw_only=True):
     """Slots of one upstream that this instance may fill.
 
@@ -119,8 +102,9 @@
         pool: Its pool.
         address: Where it takes tasks.
         slots: Tasks it runs at once.
-        takes_work: Whether it gets new work from here.
-        why_not: Reason, empty if it takes work.
+        running: Tasks of this instance that run there.
+        state: Whether it gets new work from here.
+        reason: Why it gets none, empty if it does.
     """
 
     name: str
@@ -128,8 +112,9 @@
     pool: str
     address: str
     slots: int
-    takes_work: bool
-    why_not: str
+    running: int
+    state: str
+    reason: str
 
 
 def describe_configuration(
@@ -167,23 +152,6 @@
     )
 
 
-def describe_queues(dispatcher: dispatch.Dispatcher) -> tuple[QueueLine, ...]:
-    """Return the queued work by class and team."""
-    lines: dict[tuple[str, str], QueueLine] = {}
-    for queued in dispatcher.queue.jobs.values():
-        request = queued.job.request
-        key = (request.urgency.value, request.team)
-        known = lines.get(key, _no_work(*key))
-        lines[key] = QueueLine(
-            urgency=known.urgency,
-            team=known.team,
-            jobs=known.jobs + 1,
-            waiting=known.waiting + len(queued.waiting),
-            running=known.running + queued.running,
-        )
-    return tuple(lines.values())
-
-
 def describe_slots(dispatcher: dispatch.Dispatcher) -> tuple[SlotLine, ...]:
     """Return the slots that this instance may fill."""
     return tuple(
@@ -205,14 +173,9 @@
             pool=use.upstream.pool,
             address=use.upstream.address,
             slots=use.upstream.slots,
-            takes_work=not use.upstream.leaving,
-            why_not="the platform's list says it is leaving"
-            if use.upstream.leaving
-            else '',
+            running=use.running,
+            state='leaving' if use.upstream.leaving else 'serving',
+            reason=_LISTED_LEAVING if use.upstream.leaving else '',
         )
         for use in uses
     )
-
-
-def _no_work(urgency: str, team: str) -> QueueLine:
-    return QueueLine(urgency=urgency, team=team, jobs=0, waiting=0, running=0)
--- a/packages/guavaroad/src/guavaroad/state_dump.py
+++ b/packages/guavaroad/src/guavaroad/state_dump.py
@@ -10,6 +10,7 @@
     drain,
     outcomes,
     state,
+    state_queues,
     state_sections,
 )
 
@@ -66,7 +67,9 @@
             sections.describe_submissions, book, base.incarnation
         ),
     )
-    dump.add('queues', functools.partial(sections.describe_queues, dispatcher))
+    dump.add(
+        'queues', functools.partial(state_queues.describe_queues, dispatcher)
+    )
     dump.add('slots', functools.partial(sections.describe_slots, dispatcher))
     dump.add(
         'upstreams',
