--- a/bench/edge/system.py
+++ b/bench/edge/system.py
@@ -35,7 +35,11 @@
 def make(profile_path: str = '') -> ProfiledFleet:
     """Return the fleet of the bench, not started."""
     plan = fleet.FleetPlan(
-        zones=('zone-a',), upstreams_per_zone=UPSTREAMS, slots=SLOTS
+        zones=('zone-a',),
+        upstreams_per_zone=UPSTREAMS,
+        slots=SLOTS,
+        # One instance has the connections of the whole fleet to itself.
+        settings={'limits': {'fleet_size': 1}},
     )
     made = ProfiledFleet(plan=plan)
     made.profile_path = profile_path
