Take two turns less for each outgoing request

A profile of the instance at 200 to 400 starts a second: of 9.5 s of work, 0.75 s made an endpoint for each request (0.6 s of it checked the IP number as an international name), also for kept connections, and 0.34 s ran the cooperative producer of request bodies, which also waits for a turn of the loop.

--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -10,7 +10,7 @@
 from twisted.internet import error, testing
 from twisted.python import failure
 
-from guavaroad.adapters import http_client, http_upstreams
+from guavaroad.adapters import http_bodies, http_upstreams
 from guavaroad.domain import attempts
 
 GOOD = b'{"tasks": [{"payload": {"echo": 1}}]}'
@@ -128,7 +128,7 @@
     'an upstream sends {count:d} bytes to a client that takes {bound:d}'
 )
 def when_long_answer(context, count, bound):
-    reader = http_client.BodyReader(max_bytes=bound)
+    reader = http_bodies.BodyReader(max_bytes=bound)
     context.transport = testing.StringTransport()
     reader.makeConnection(context.transport)
     for _ in range(count // 100):
@@ -142,7 +142,7 @@
     assert context.transport.disconnecting
     broken = []
     context.reader.whole.addErrback(broken.append)
-    broken[0].trap(http_client.AnswerTooLargeError)
+    broken[0].trap(http_bodies.AnswerTooLargeError)
     assert context.reader.size <= context.reader.max_bytes + 100
 
 
--- a/packages/guavaroad/src/guavaroad/adapters/http_client.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_client.py
@@ -1,18 +1,17 @@
 """HTTP requests that say whether they may have reached the other side."""
 
-# Methods overridden here have the names of the library.
-# ruff: noqa: N802
 import dataclasses
-import io
 from typing import Any, Final
 
 from OpenSSL import SSL
-from twisted.internet import defer, error, protocol
+from twisted.internet import defer, error
 from twisted.python import failure
 from twisted.web import _newclient as web_client
-from twisted.web import client, http, http_headers, iweb
+from twisted.web import client, http_headers, iweb
 from twisted.web import error as web_error
 
+from guavaroad.adapters import http_bodies, http_endpoints
+
 _USER_AGENT: Final = 'guavaroad'
 _IDLE_CONNECTION_S: Final = 60
 MAX_ANSWER_BYTES: Final = 32_000_000
@@ -86,55 +85,6 @@
     max_answer_bytes: int = MAX_ANSWER_BYTES
 
 
-class AnswerTooLargeError(Exception):
-    """The body of an answer is over its bound."""
-
-
-class BodyReader(protocol.Protocol):
-    """Reads the body of an answer up to a bound.
-
-    Attributes:
-        whole: Fires with the body, or fails if it did not arrive whole.
-        size: Bytes read so far.
-    """
-
-    transport: Any
-
-    def __init__(self, *, max_bytes: int) -> None:
-        self.max_bytes = max_bytes
-        self.size = 0
-        self.chunks: list[bytes] = []
-        self.whole: defer.Deferred[bytes] = defer.Deferred(self.abort)
-
-    def dataReceived(self, data: bytes) -> None:
-        """Keep a part of the body, or abort the connection."""
-        if self.size > self.max_bytes:
-            return
-        self.size += len(data)
-        if self.size > self.max_bytes:
-            self.chunks.clear()
-            self.abort()
-            return
-        self.chunks.append(data)
-
-    def connectionLost(
-        self, reason: failure.Failure = protocol.connectionDone
-    ) -> None:
-        """Take the end of the body."""
-        if self.whole.called:
-            return
-        if self.size > self.max_bytes:
-            self.whole.errback(AnswerTooLargeError(f'over {self.max_bytes}'))
-        elif reason.check(client.ResponseDone, http.PotentialDataLoss):
-            self.whole.callback(b''.join(self.chunks))
-        else:
-            self.whole.errback(reason)
-
-    def abort(self, *_: object) -> None:
-        """Close the connection, so that it is never used again."""
-        self.transport.loseConnection()
-
-
 class HttpClient:
     """Pooled persistent connections with one request in flight on each.
 
@@ -159,10 +109,13 @@
         # A resend by the library could start a task twice.
         self.pool.retryAutomatically = False
         self.in_flight = 0
-        self.agent = client.Agent(
+        self.agent = client.Agent.usingEndpointFactory(
             reactor,
-            contextFactory=client.BrowserLikePolicyForHTTPS(trust),
-            connectTimeout=connect_timeout_s,
+            http_endpoints.KnownEndpoints(
+                reactor=reactor,
+                policy=client.BrowserLikePolicyForHTTPS(trust),
+                connect_timeout_s=connect_timeout_s,
+            ),
             pool=self.pool,
         )
 
@@ -207,7 +160,7 @@
             headers,
             _producer(call.body),
         )
-        body = await read_body(response, call.max_answer_bytes)
+        body = await http_bodies.read_body(response, call.max_answer_bytes)
         return Reply(
             status=response.code,
             headers=_first_headers(response.headers),
@@ -220,28 +173,10 @@
         return closing
 
 
-async def read_body(response: Any, max_bytes: int) -> bytes:
-    """Return the whole body of an answer.
-
-    Args:
-        response: Answer whose head has arrived.
-        max_bytes: Largest body.
-
-    Returns:
-        The body.
-
-    Raises:
-        AnswerTooLargeError: If the body is larger; the connection is closed.
-    """
-    reader = BodyReader(max_bytes=max_bytes)
-    response.deliverBody(reader)
-    return await reader.whole
-
-
 def _producer(body: bytes) -> Any:
     if not body:
         return None
-    return client.FileBodyProducer(io.BytesIO(body))
+    return http_bodies.WholeBody(body=body)
 
 
 def _first_headers(headers: http_headers.Headers) -> dict[str, str]:
