--- a/features/steps/edge_state_steps.py
+++ b/features/steps/edge_state_steps.py
@@ -67,7 +67,7 @@
 )
 def then_queue(context, waiting, running, urgency, team):
     line = context.dump['queues']['by_class_and_team'][0]
-    assert (line['urgency'], line['team']) == (urgency, team)
+    assert (line['class'], line['team']) == (urgency, team)
     assert (line['waiting'], line['running']) == (waiting, running)
 
 
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -2,7 +2,14 @@
 
 from typing import Any, Final
 
-from guavaroad import composition, front, settings, state_dump
+from guavaroad import (
+    composition,
+    composition_dispatch,
+    front,
+    settings,
+    settings_slots,
+    state_dump,
+)
 from guavaroad.adapters import (
     client_port,
     http_api,
@@ -34,7 +41,9 @@
             self.base, self.platform
         )
         self.directory = composition.directory_service(self.base, self.platform)
-        self.dispatcher = composition.dispatcher(self.base)
+        self.dispatcher = composition_dispatch.dispatcher(
+            self.base, self.configuration
+        )
         self.submissions = composition.submission_service(
             self.base, self.dispatcher, self.configuration
         )
@@ -55,9 +64,17 @@
 
     def upstreams_changed(self, listed: platform.InstanceList) -> None:
         """Divide the listed upstreams among the listed instances."""
-        self.dispatcher.set_upstreams(
-            dispatch.static_uses(listed.upstreams, len(listed.entries))
-        )
+        own = self.base.incarnation.address
+        addresses = {entry.address for entry in listed.entries} | {own}
+        index = sorted(addresses).index(own)
+        match self.base.settings.slots.mode:
+            case settings_slots.SlotMode.TWO_CHOICES:
+                uses = dispatch.static_uses(listed.upstreams, 0, 1)
+            case _:
+                uses = dispatch.static_uses(
+                    listed.upstreams, index, len(addresses)
+                )
+        self.dispatcher.set_upstreams(uses)
 
     def queued_tasks(self) -> int:
         """Return the tasks that wait here."""
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -8,7 +8,6 @@
 from guavaroad.adapters import (
     http_client,
     http_platform,
-    http_upstreams,
     metered,
     metrics,
     nng_peers,
@@ -151,28 +150,6 @@
     )
 
 
-def upstream_port(base: Foundation) -> metered.MeteredUpstreams:
-    """Return the way to the upstreams."""
-    return metered.MeteredUpstreams(
-        inner=http_upstreams.HttpUpstreams(
-            client=base.client,
-            attempt_timeout_s=base.settings.limits.attempt_timeout_s,
-        ),
-        sink=base.metrics,
-        timer_service=base.timers,
-    )
-
-
-def dispatcher(base: Foundation) -> dispatch.Dispatcher:
-    """Return the part that starts queued tasks."""
-    limits = base.settings.limits
-    return dispatch.Dispatcher(
-        port=upstream_port(base),
-        timer_service=base.timers,
-        max_queued_tasks=limits.queued_tasks,
-    )
-
-
 def submission_service(
     base: Foundation,
     dispatching: dispatch.Dispatcher,
--- a/packages/guavaroad/src/guavaroad/services/state_sections.py
+++ b/packages/guavaroad/src/guavaroad/services/state_sections.py
@@ -1,16 +1,14 @@
 """Typed sections of the state dump."""
 
 import itertools
-from collections.abc import Iterable
 from typing import Final
 
 import msgspec
 
 from guavaroad.domain import identity
-from guavaroad.services import configuration, dispatch, drain, outcomes
+from guavaroad.services import configuration, drain, outcomes
 
 SHOWN_SUBMISSIONS: Final = 200
-_LISTED_LEAVING: Final = "the platform's list says it is leaving"
 
 
 class InstanceSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -79,44 +77,6 @@
     shown: tuple[SubmissionLine, ...]
 
 
-class SlotLine(msgspec.Struct, frozen=True, kw_only=True):
-    """Slots of one upstream that this instance may fill.
-
-    Attributes:
-        upstream: Name of the upstream.
-        held: Slots it may fill.
-        running: Tasks that run there.
-    """
-
-    upstream: str
-    held: int
-    running: int
-
-
-class UpstreamLine(msgspec.Struct, frozen=True, kw_only=True):
-    """One upstream as this instance sees it.
-
-    Attributes:
-        name: Its name.
-        availability_zone: Its zone.
-        pool: Its pool.
-        address: Where it takes tasks.
-        slots: Tasks it runs at once.
-        running: Tasks of this instance that run there.
-        state: Whether it gets new work from here.
-        reason: Why it gets none, empty if it does.
-    """
-
-    name: str
-    availability_zone: str
-    pool: str
-    address: str
-    slots: int
-    running: int
-    state: str
-    reason: str
-
-
 def describe_configuration(
     service: configuration.ConfigurationService,
 ) -> ConfigurationSection:
@@ -150,32 +110,3 @@
         kept=len(book.ended),
         shown=tuple(itertools.islice(open_entries, SHOWN_SUBMISSIONS)),
     )
-
-
-def describe_slots(dispatcher: dispatch.Dispatcher) -> tuple[SlotLine, ...]:
-    """Return the slots that this instance may fill."""
-    return tuple(
-        SlotLine(
-            upstream=use.upstream.name, held=use.share, running=use.running
-        )
-        for use in dispatcher.uses.values()
-    )
-
-
-def describe_upstreams(
-    uses: Iterable[dispatch.UpstreamUse],
-) -> tuple[UpstreamLine, ...]:
-    """Return the upstreams as this instance sees them."""
-    return tuple(
-        UpstreamLine(
-            name=use.upstream.name,
-            availability_zone=use.upstream.availability_zone,
-            pool=use.upstream.pool,
-            address=use.upstream.address,
-            slots=use.upstream.slots,
-            running=use.running,
-            state='leaving' if use.upstream.leaving else 'serving',
-            reason=_LISTED_LEAVING if use.upstream.leaving else '',
-        )
-        for use in uses
-    )
--- a/packages/guavaroad/src/guavaroad/settings.py
+++ b/packages/guavaroad/src/guavaroad/settings.py
@@ -9,10 +9,12 @@
 
 import pydantic
 
-from guavaroad import settings_problems
+from guavaroad import settings_problems, settings_slots
 from guavaroad.adapters import strict_yaml, tls
 from guavaroad.domain.configuration import document
 
+_QUEUED_BYTES = 64 * 1024 * 1024
+
 Port = Annotated[int, pydantic.Field(ge=1, le=65_535)]
 _DIALLED: Final = (
     'must be an IP number that others can dial, IPv6 in brackets, and a port'
@@ -130,6 +132,7 @@
         request_timeout_s: From the first byte of a request to its last.
         connections: Most connections of clients, operators and peers.
         queued_tasks: Most tasks waiting in all.
+        queued_bytes: Most payload bytes waiting in all.
         kept_outcomes: Most ended submissions kept.
         id_lifetime_s: How long a submission id is good.
         default_deadline_s: Deadline of a job that names none.
@@ -143,6 +146,7 @@
     request_timeout_s: Seconds = 20
     connections: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 4000
     queued_tasks: Annotated[int, pydantic.Field(ge=1)] = 200_000
+    queued_bytes: Annotated[int, pydantic.Field(ge=1024)] = _QUEUED_BYTES
     kept_outcomes: Annotated[int, pydantic.Field(ge=1)] = 100_000
     id_lifetime_s: Seconds = 3600
     default_deadline_s: Seconds = 60
@@ -210,6 +214,7 @@
         peers: Peer addresses to begin with.
         tokens: Bearer tokens.
         limits: Bounds.
+        slots: How slots are leased.
         logs: Where logs go.
         tls: Certificates; without them the client port speaks plain HTTP.
         drain_s: Longest planned stop.
@@ -223,6 +228,7 @@
         pydantic.Field(min_length=1, strict=False),
     ]
     limits: Limits = Limits()
+    slots: settings_slots.Slots = settings_slots.Slots()
     logs: Logs = Logs()
     tls: Tls | None = None
     drain_s: Seconds = 30
--- a/packages/guavaroad/src/guavaroad/state_dump.py
+++ b/packages/guavaroad/src/guavaroad/state_dump.py
@@ -60,21 +60,21 @@
     dispatcher: dispatch.Dispatcher,
 ) -> None:
     """Add the sections of submissions, queues, slots and upstreams."""
-    sections = state_sections
     dump.add(
         'submissions',
         functools.partial(
-            sections.describe_submissions, book, base.incarnation
+            state_sections.describe_submissions, book, base.incarnation
         ),
     )
     dump.add(
         'queues', functools.partial(state_queues.describe_queues, dispatcher)
     )
-    dump.add('slots', functools.partial(sections.describe_slots, dispatcher))
+    dump.add('slots', dispatcher.slots.describe)
     dump.add(
         'upstreams',
-        lambda: sections.describe_upstreams(dispatcher.uses.values()),
+        functools.partial(state_queues.describe_upstreams, dispatcher),
     )
+    dump.add('health', dispatcher.health.describe)
 
 
 def add_surroundings(
