--- a/Makefile
+++ b/Makefile
@@ -40,8 +40,18 @@
 	$(BIN)/python tools/demo.py
 
 bench: setup
+	$(BIN)/python -m bench.run
 	$(BIN)/python -m bench.slots
 
+bench-instance: setup
+	$(BIN)/python -m bench.run
+
+bench-slots: setup
+	$(BIN)/python -m bench.slots
+
+bench-records: setup
+	$(BIN)/python -m bench.submission_cost
+
 capacity: setup
 	$(BIN)/python -m bench.capacity
 
--- a/bench/submission_cost.py
+++ b/bench/submission_cost.py
@@ -99,7 +99,7 @@
 
 def is_configured(address: str) -> bool:
     """Return whether an instance serves the configuration."""
-    return bool(state_of(address)['config_version'] == 1)
+    return bool(state_of(address)['configuration']['version'] == 1)
 
 
 def state_of(address: str) -> Any:
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -130,7 +130,7 @@
 
 
 def knows_configuration(address):
-    return state_of(address)['config_version'] == 1
+    return state_of(address)['configuration']['version'] == 1
 
 
 def record_state(context):
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -2,13 +2,13 @@
 
 from typing import Any, Final
 
-import prometheus_client
-
 from guavaroad import (
     composition,
     composition_dispatch,
     composition_submissions,
+    front,
     settings,
+    state_dump,
 )
 from guavaroad.adapters import (
     client_port,
@@ -16,8 +16,9 @@
     http_api_site,
     http_api_tokens,
     logs,
+    metered,
 )
-from guavaroad.services import drain
+from guavaroad.services import drain, state
 
 _LOG: Final = logs.logger_of('app')
 
@@ -45,10 +46,12 @@
         self.submissions = composition_submissions.submission_service(
             self.base, self.platform, self.dispatcher, self.configuration
         )
+        self.dump = state.StateDump()
         self.site = self.client_site()
-        self.drain = composition.drain_service(
-            self.base, self.submissions, self.site
+        front.watch_counts(
+            self.base, self.site, self.submissions, self.dispatcher
         )
+        self.drain = front.drain_service(self.base, self.submissions, self.site)
         self.drain.ended.addCallback(self.stopped)
         self.drain.hooks.on_leaving.append(self.membership.leave)
         self.exit_code = 0
@@ -59,6 +62,8 @@
         self.directory.on_change.append(self.slots.list_changed)
         self.drain.hooks.on_leaving.append(self.slots.drain)
         self.directory.on_change.append(self.membership.list_changed)
+        self.describe_parts()
+        self.configuration.on_change.append(self.configuration_changed)
 
     def queued_tasks(self) -> int:
         """Return the tasks that wait here."""
@@ -69,18 +74,23 @@
         pages = http_api.Pages(
             submission_service=self.submissions,
             configuration_service=self.configuration,
-            state=self.state,
-            registry=prometheus_client.REGISTRY,
+            state=self.dump.dump,
+            metrics_page=self.base.metrics.page,
         )
         api = http_api.ApiResource(
             tokens=http_api_tokens.Tokens(tokens=self.base.settings.tokens),
             routes=http_api.route_table(pages),
+            sink=self.base.metrics,
+            timer_service=self.base.timers,
         )
-        return composition.client_site(self.base, api)
+        return front.client_site(self.base, api)
 
     def listen(self) -> None:
         """Open the ports and begin to follow the platform."""
         self.open_client_port()
+        metered.LoopLag(
+            sink=self.base.metrics, timer_service=self.base.timers
+        ).sample()
         self.bus.start()
         self.membership.start()
         self.configuration.refresh()
@@ -94,21 +104,31 @@
         )
         self.drain.hooks.on_closing.append(port.stopListening)
 
-    def state(self) -> dict[str, Any]:
-        """Return the dump of this process's state."""
+    def describe_parts(self) -> None:
+        """Compose the dump of this process's state."""
+        instance = state_dump.InstanceDescription(
+            base=self.base, configured=self.configuration, stop=self.drain
+        )
+        self.dump.add('instance', instance.describe)
+        state_dump.add_surroundings(
+            self.dump, self.base, self.configuration, self.bus
+        )
+        self.dump.add('membership', self.membership.describe)
+        self.dump.add('leases', self.slots.describe)
+        self.dump.add('records', self.submissions.describe)
+        state_dump.add_work(
+            self.dump, self.base, self.submissions.book, self.dispatcher
+        )
+
+    def configuration_changed(self) -> None:
+        """Note which version came into force."""
         known = self.configuration.in_force
-        incarnation = self.base.incarnation
-        return {
-            'availability_zone': incarnation.availability_zone,
-            'address': incarnation.address,
-            'epoch': incarnation.epoch,
-            'config_version': known.version if known else None,
-            'dispatch': self.dispatcher.describe(),
-            'slots': self.slots.describe(),
-            'membership': self.membership.describe(),
-            'bus': self.bus.describe(),
-            'submissions': self.submissions.describe(),
-        }
+        version = known.version if known else None
+        self.base.decisions.note(
+            'configuration',
+            f'version {version} is in force',
+            'it is newer than the version before',
+        )
 
     def stop(self) -> None:
         """Begin the planned stop; a second call ends it."""
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -6,10 +6,10 @@
 
 from guavaroad import settings
 from guavaroad.adapters import (
-    http_api,
-    http_api_site,
     http_client,
     http_platform,
+    metered,
+    metrics,
     nng_peers,
     peer_wire,
     reactor_timers,
@@ -17,10 +17,9 @@
 from guavaroad.domain import identity, names
 from guavaroad.services import (
     configuration,
+    decisions,
     directory,
-    drain,
     membership,
-    submissions,
 )
 
 _EPOCH_BYTES: Final = 6
@@ -37,6 +36,8 @@
         timers: Timer service on the loop.
         incarnation: This life of this process.
         client: Outgoing HTTP connections.
+        metrics: What the parts count and time.
+        decisions: Recent decisions with their reasons.
     """
 
     reactor: Any
@@ -44,14 +45,17 @@
     timers: reactor_timers.ReactorTimers
     incarnation: identity.Incarnation
     client: http_client.HttpClient
+    metrics: metrics.PrometheusMetrics
+    decisions: decisions.Decisions
 
 
 def foundation(reactor: Any, chosen: settings.Settings) -> Foundation:
     """Return what the parts share."""
+    timer_service = reactor_timers.ReactorTimers(clock=reactor)
     return Foundation(
         reactor=reactor,
         settings=chosen,
-        timers=reactor_timers.ReactorTimers(clock=reactor),
+        timers=timer_service,
         incarnation=new_incarnation(chosen.instance),
         client=http_client.HttpClient(
             reactor=reactor,
@@ -60,6 +64,8 @@
             trust=chosen.tls.trust() if chosen.tls else None,
             instance_scheme='https' if chosen.tls else 'http',
         ),
+        metrics=metrics.PrometheusMetrics(),
+        decisions=decisions.Decisions(timer_service=timer_service),
     )
 
 
@@ -80,8 +86,11 @@
 def platform_link(base: Foundation) -> http_platform.PlatformLink:
     """Return the way to the platform."""
     chosen = base.settings.platform
+    client = metered.MeteredExchanger(
+        inner=base.client, sink=base.metrics, timer_service=base.timers
+    )
     return http_platform.PlatformLink(
-        client=base.client, url=chosen.url, timeout_s=chosen.timeout_s
+        client=client, url=chosen.url, timeout_s=chosen.timeout_s
     )
 
 
@@ -137,38 +146,3 @@
         timer_service=base.timers,
         period_s=base.settings.platform.list_period_s,
     )
-
-
-def client_site(
-    base: Foundation, api: http_api.ApiResource
-) -> http_api_site.ApiSite:
-    """Return the bounded site of the client port."""
-    limits = base.settings.limits
-    return http_api_site.ApiSite(
-        root=api,
-        reactor=base.reactor,
-        timer_service=base.timers,
-        bounds=http_api_site.Bounds(
-            body_bytes=limits.body_bytes,
-            held_body_bytes=limits.held_body_bytes,
-            connections=limits.connections,
-            request_timeout_s=limits.request_timeout_s,
-        ),
-    )
-
-
-def drain_service(
-    base: Foundation,
-    submitted: submissions.SubmissionService,
-    site: http_api_site.ApiSite,
-) -> drain.DrainService:
-    """Return the planned stop, with what it waits for."""
-    service = drain.DrainService(
-        timer_service=base.timers, bound_s=base.settings.drain_s
-    )
-    service.hooks.on_leaving.extend((submitted.refuse_new, site.leave))
-    service.hooks.on_closing.append(site.close_connections)
-    service.watch('submissions', submitted.book.open_count)
-    service.watch('requests', site.requests_in_progress)
-    service.watch('connections', site.connection_count, drain.Phase.CLOSING)
-    return service
--- a/packages/guavaroad/src/guavaroad/composition_dispatch.py
+++ b/packages/guavaroad/src/guavaroad/composition_dispatch.py
@@ -3,7 +3,7 @@
 import random
 
 from guavaroad import composition, settings_slots
-from guavaroad.adapters import http_upstreams
+from guavaroad.adapters import http_upstreams, metered
 from guavaroad.domain import names
 from guavaroad.domain.health import rules
 from guavaroad.domain.scheduling import admission
@@ -23,6 +23,18 @@
 Keeper = slots.SlotService | equal_slots.EqualSlots
 
 
+def upstream_port(base: composition.Foundation) -> metered.MeteredUpstreams:
+    """Return the way to the upstreams."""
+    return metered.MeteredUpstreams(
+        inner=http_upstreams.HttpUpstreams(
+            client=base.client,
+            attempt_timeout_s=base.settings.limits.attempt_timeout_s,
+        ),
+        sink=base.metrics,
+        timer_service=base.timers,
+    )
+
+
 def dispatcher(
     base: composition.Foundation,
     configured: configuration.ConfigurationService,
@@ -36,9 +48,7 @@
         is settings_slots.SlotMode.TWO_CHOICES,
     )
     return dispatch.Dispatcher(
-        port=http_upstreams.HttpUpstreams(
-            client=base.client, attempt_timeout_s=limits.attempt_timeout_s
-        ),
+        port=upstream_port(base),
         timer_service=base.timers,
         slots=slot_table,
         health_service=health.HealthService(
--- a/packages/guavaroad/src/guavaroad/services/dispatch.py
+++ b/packages/guavaroad/src/guavaroad/services/dispatch.py
@@ -53,6 +53,7 @@
             configuration=configuration,
         )
         self.port = port
+        self.on_enqueue: list[Callable[[int], object]] = []
         self.callbacks: dict[names.SubmissionId, Settled] = {}
         self.deadlines: dict[names.SubmissionId, timers.Timer] = {}
         self.keeper: SlotKeeper | None = None
@@ -73,6 +74,8 @@
             lambda: self.give_up(job, codes.ResultCode.DEADLINE_PASSED),
         )
         self.queue.add(job)
+        for enqueued in self.on_enqueue:
+            enqueued(len(job.slots))
         for victim in self.overflow():
             self.give_up(victim, codes.ResultCode.OVERLOADED)
         self.pump()
