--- /dev/null
+++ b/bench/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Response time, messages and floods on real processes."""
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -7,7 +7,6 @@
     composition_dispatch,
     front,
     settings,
-    settings_slots,
     state_dump,
 )
 from guavaroad.adapters import (
@@ -18,8 +17,7 @@
     logs,
     metered,
 )
-from guavaroad.ports import platform
-from guavaroad.services import dispatch, drain, state
+from guavaroad.services import drain, state
 
 _LOG: Final = logs.logger_of('app')
 
@@ -56,25 +54,15 @@
         self.drain.ended.addCallback(self.stopped)
         self.drain.hooks.on_leaving.append(self.membership.leave)
         self.exit_code = 0
-        self.describe_parts()
         self.configuration.on_change.append(self.configuration_changed)
         self.membership.shown.load = self.queued_tasks
-        self.directory.on_change.append(self.upstreams_changed)
+        self.slots = composition_dispatch.slot_keeper(
+            self.base, self.dispatcher, self.bus, self.membership
+        )
+        self.directory.on_change.append(self.slots.list_changed)
+        self.drain.hooks.on_leaving.append(self.slots.drain)
         self.directory.on_change.append(self.membership.list_changed)
-
-    def upstreams_changed(self, listed: platform.InstanceList) -> None:
-        """Divide the listed upstreams among the listed instances."""
-        own = self.base.incarnation.address
-        addresses = {entry.address for entry in listed.entries} | {own}
-        index = sorted(addresses).index(own)
-        match self.base.settings.slots.mode:
-            case settings_slots.SlotMode.TWO_CHOICES:
-                uses = dispatch.static_uses(listed.upstreams, 0, 1)
-            case _:
-                uses = dispatch.static_uses(
-                    listed.upstreams, index, len(addresses)
-                )
-        self.dispatcher.set_upstreams(uses)
+        self.describe_parts()
 
     def queued_tasks(self) -> int:
         """Return the tasks that wait here."""
@@ -128,6 +116,7 @@
         state_dump.add_work(
             self.dump, self.base, self.submissions.book, self.dispatcher
         )
+        self.dump.add('slots', self.slots.describe)
 
     def configuration_changed(self) -> None:
         """Note which version came into force."""
--- a/packages/guavaroad/src/guavaroad/state_dump.py
+++ b/packages/guavaroad/src/guavaroad/state_dump.py
@@ -69,7 +69,6 @@
     dump.add(
         'queues', functools.partial(state_queues.describe_queues, dispatcher)
     )
-    dump.add('slots', dispatcher.slots.describe)
     dump.add(
         'upstreams',
         functools.partial(state_queues.describe_upstreams, dispatcher),
