--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -119,6 +119,7 @@
         state_dump.add_work(
             self.dump, self.base, self.submissions.book, self.dispatcher
         )
+        self.dump.add('slots', self.slots.describe)
 
     def configuration_changed(self) -> None:
         """Note which version came into force."""
--- a/packages/guavaroad/src/guavaroad/services/state.py
+++ b/packages/guavaroad/src/guavaroad/services/state.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from guavaroad.adapters import logs
+from guavaroad.ports import logs
 
 Describe = Callable[[], Any]
 _LOG: Final = logs.logger_of('state')
