--- a/features/scheduling/admission.feature
+++ b/features/scheduling/admission.feature
@@ -3,14 +3,14 @@
   Scenario: A job whose wait would pass its deadline is refused at once
     Given a dispatcher with 1 upstreams of 2 slots
     When team "office" queues 50 normal jobs "render" of 2 tasks
-    And 1 s pass at the dispatcher
+    And the tasks run for 1 s
     And team "office" asks for 2 tasks within 500 ms
     Then it is refused as OVERLOADED with a hint when to try again
 
   Scenario: The flood of a rival refuses nothing to a team within its share
     Given a dispatcher with 1 upstreams of 2 slots
     When team "rival" queues 50 normal jobs "render" of 2 tasks
-    And 1 s pass at the dispatcher
+    And the tasks run for 1 s
     And team "office" asks for 2 tasks within 500 ms
     Then it is taken
 
@@ -38,5 +38,5 @@
     Given a dispatcher with 1 upstreams of 1 slots
     When team "office" queues 1 normal jobs "render" of 20 tasks
     And team "office" queues a job with a deadline of 30 ms
-    And 1 s pass at the dispatcher
+    And the tasks run for 1 s
     Then the last job has ended as DEADLINE_PASSED and nothing of it ran
--- a/features/steps/health_steps.py
+++ b/features/steps/health_steps.py
@@ -7,6 +7,7 @@
 
 from guavaroad.domain import attempts, codes, names
 from guavaroad.domain.health import record
+from guavaroad.domain.slots import messages
 from guavaroad.services import dispatch
 
 FAILED = attempts.Failed(detail='status 500')
@@ -86,7 +87,10 @@
 @behave.when('a peer tells that "{name}" leaves')
 def when_peer_tells(context, name):
     use = use_of(context, name)
-    context.world.health.leaving_told(use.upstream.name, use.upstream.address)
+    notice = messages.LeavingNotice(
+        upstream=use.upstream.name, address=use.upstream.address
+    )
+    context.world.health.notice_came(None, notice)
 
 
 @behave.when('the platform lists every upstream as staying')
--- a/packages/guavaroad/src/guavaroad/adapters/http_upstreams.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_upstreams.py
@@ -85,7 +85,9 @@
     return json_answer(reply.body, leaving=leaving)
 
 
-def json_answer(body: bytes, *, leaving: bool) -> attempts.AttemptOutcome:
+def json_answer(
+    body: bytes, *, leaving: bool = False
+) -> attempts.AttemptOutcome:
     """Check that the answer is JSON.
 
     Args:
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -101,6 +101,8 @@
             epoch=incarnation.epoch,
             peer_address=names.PeerAddress(instance.peer_address),
         ),
+        # Parts collect their messages for ticks of their own.
+        tick_s=0,
     )
 
 
--- a/packages/guavaroad/src/guavaroad/domain/slots/messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/slots/messages.py
@@ -8,7 +8,7 @@
 import msgspec
 
 
-class PoolDemand(msgspec.Struct, frozen=True, kw_only=True):
+class PoolDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What one instance waits for in one pool.
 
     Attributes:
@@ -28,7 +28,13 @@
     jobs: int = 1
 
 
-class SlotReport(msgspec.Struct, frozen=True, kw_only=True, tag='slot-report'):
+class SlotReport(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    tag='slot-report',
+):
     """From an instance to the allocator of a zone.
 
     Attributes:
@@ -50,7 +56,13 @@
     refused: tuple[str, ...] = ()
 
 
-class SlotOrders(msgspec.Struct, frozen=True, kw_only=True, tag='slot-orders'):
+class SlotOrders(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    tag='slot-orders',
+):
     """From the allocator of a zone to an instance.
 
     Attributes:
@@ -73,7 +85,11 @@
 
 
 class LeavingNotice(
-    msgspec.Struct, frozen=True, kw_only=True, tag='upstream-leaving'
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    tag='upstream-leaving',
 ):
     """From the instance that an upstream told that it leaves.
 
--- a/packages/guavaroad/src/guavaroad/services/slots.py
+++ b/packages/guavaroad/src/guavaroad/services/slots.py
@@ -5,8 +5,8 @@
 
 from guavaroad.domain import names
 from guavaroad.domain.scheduling import demand
-from guavaroad.domain.slots import division, link, messages, table, upstream
-from guavaroad.ports import peers, timers
+from guavaroad.domain.slots import division, link, messages, table
+from guavaroad.ports import peers, platform, timers
 from guavaroad.services import allocation, dispatch
 
 _FALLBACK_CHECKS: Final = 4
@@ -59,11 +59,12 @@
         )
         dispatcher.keeper = self
 
-    def list_upstreams(self, listed: tuple[upstream.Upstream, ...]) -> None:
+    def list_changed(self, instances: platform.InstanceList) -> None:
         """Take the platform's list; what is held stays held.
 
         Until an allocator has answered, an equal share is held.
         """
+        listed = instances.upstreams
         equal = division.equal_shares(listed, *self.links.place())
         self.links.list_upstreams(listed)
         uses = []
--- a/packages/guavaroad/src/guavaroad/settings_slots.py
+++ b/packages/guavaroad/src/guavaroad/settings_slots.py
@@ -35,7 +35,7 @@
 
     mode: SlotMode = SlotMode.LEASES
     tick_ms: Annotated[float, pydantic.Field(ge=0, le=1000)] = 2
-    lease_s: Seconds = 3
+    lease_s: Seconds = 6
     linger_s: Seconds = 0.1
     fallback_s: Seconds = 1
     stock: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.25
