--- a/tools/settings_table.py
+++ b/tools/settings_table.py
@@ -3,6 +3,7 @@
 Run as `python tools/settings_table.py`, or with `--check`.
 """
 
+import enum
 import inspect
 import pathlib
 import re
@@ -68,6 +69,8 @@
             return 'none'
         case bool():
             return str(field.default).lower()
+        case enum.Enum():
+            return str(field.default.value)
     return str(field.default)
 
 
