Count shares over the platform's list until the peers are known

Cause: at its first list an instance knew no peer, took itself for the only one and counted its shares over all 192 slots, for good. Urgent work was then always below its share. Ruled out: the expected wait, since those jobs waited in the queue and expired.

The place among the instances now comes from the list and the view together, and is taken again with each fallback check. The scenario "An instance without peers yet counts the platform's list" failed first: 24 slots, not 8.

--- a/features/slots/leases.feature
+++ b/features/slots/leases.feature
@@ -57,3 +57,9 @@
     When 1 s pass in the fleet
     Then instance 0 has no waiting task
     And no upstream was ever busy
+
+  Scenario: An instance without peers yet counts the platform's list
+    Given 3 instances in zone "a" with 4 upstreams of 6 slots
+    When instance 0 starts again and knows its peers from the list alone
+    Then instance 0 counts its shares over 8 slots
+    And instance 0 holds at most 8 slots
--- a/features/steps/slots_steps.py
+++ b/features/steps/slots_steps.py
@@ -202,3 +202,21 @@
     total = sum(one.slots for one in chosen.slots.upstreams.values())
     held = sum(chosen.slots.held.values())
     assert total - held >= count, (total, held)
+
+
+@behave.when(
+    'instance {number:d} starts again and knows its peers from the list alone'
+)
+def when_starts_alone(context, number):
+    world = context.fleet_world
+    peer = instance(context, number).peer
+    fresh = slot_worlds.LeasingInstance(world, peer)
+    fresh.members.peers = tuple
+    fresh.keeper.list_changed(world.shown())
+    context.fleet_world.all_instances[number] = fresh
+
+
+@behave.then('instance {number:d} counts its shares over {count:d} slots')
+def then_counts(context, number, count):
+    pool = instance(context, number).slots.pools['main']
+    assert pool.entitled == count, pool.entitled
--- a/features/support/slot_worlds.py
+++ b/features/support/slot_worlds.py
@@ -127,9 +127,20 @@
 
     def list_upstreams(self):
         """Show every instance the platform's list."""
-        shown = platform.InstanceList(entries=(), upstreams=self.listed)
         for one in self.instances:
-            one.keeper.list_changed(shown)
+            one.keeper.list_changed(self.shown())
+
+    def shown(self):
+        """Return the platform's list."""
+        entries = tuple(
+            platform.ListedInstance(
+                availability_zone=known.incarnation.availability_zone,
+                address=known.incarnation.address,
+                peer_address=known.peer_address,
+            )
+            for known in self.members
+        )
+        return platform.InstanceList(entries=entries, upstreams=self.listed)
 
     def view_changed(self):
         """Tell every instance that the view changed."""
--- a/packages/guavaroad/src/guavaroad/services/allocation.py
+++ b/packages/guavaroad/src/guavaroad/services/allocation.py
@@ -81,13 +81,17 @@
             and peer.state in _MAY_ALLOCATE
         )
 
-    def place(self) -> tuple[int, int]:
-        """Return this instance's index among the live ones, and their count.
+    def place(self, listed: set[names.PeerAddress]) -> tuple[int, int]:
+        """Return this instance's index among all, and their count.
+
+        Args:
+            listed: Peer addresses of the platform's list, which counts while
+                the view is not complete yet.
 
         Returns:
             Index from 0, and the count with this instance.
         """
-        ranked = sorted(one.peer_address for one in self.everyone())
+        ranked = sorted(listed | {one.peer_address for one in self.everyone()})
         return ranked.index(self.own.peer_address), len(ranked)
 
     def members_changed(self) -> None:
--- a/packages/guavaroad/src/guavaroad/services/slots.py
+++ b/packages/guavaroad/src/guavaroad/services/slots.py
@@ -51,6 +51,7 @@
         self.moves = moves
         self.flush_due = False
         self.draining = False
+        self.listed_peers: set[names.PeerAddress] = set()
         links.on_orders.append(self.take_orders)
         links.on_change.append(self.pumped)
         timer_service.subscribe(times.linger_s, self.return_idle)
@@ -65,7 +66,9 @@
         Until an allocator has answered, an equal share is held.
         """
         listed = instances.upstreams
-        equal = division.equal_shares(listed, *self.links.place())
+        self.listed_peers = {one.peer_address for one in instances.entries}
+        place = self.links.place(self.listed_peers)
+        equal = division.equal_shares(listed, *place)
         self.links.list_upstreams(listed)
         uses = []
         for known in listed:
@@ -78,8 +81,7 @@
                 )
             )
         self.dispatcher.set_upstreams(tuple(uses))
-        for known in listed:
-            self.slots.pool(known.pool).entitled += equal[known.name]
+        entitle(self.slots, place)
 
     def slot_freed(self, use: table.UpstreamUse) -> None:
         """Give a freed slot back if it was asked for, else keep it."""
@@ -159,6 +161,7 @@
     def check_fallback(self) -> None:
         """Use a static share of zones whose allocator does not answer."""
         now_s = self.timers.now()
+        entitle(self.slots, self.links.place(self.listed_peers))
         for known in self.links.by_zone.values():
             silent = known.silent(now_s, self.times.fallback_s)
             if silent and not known.fallback:
@@ -170,7 +173,9 @@
         """Fill at least an equal share of each upstream of a zone."""
         uses = tuple(self.slots.uses.values())
         listed = [use.upstream for use in uses]
-        equal = division.equal_shares(listed, *self.links.place())
+        equal = division.equal_shares(
+            listed, *self.links.place(self.listed_peers)
+        )
         for use in uses:
             share = equal[use.upstream.name]
             if use.upstream.availability_zone == zone and use.share < share:
@@ -194,6 +199,21 @@
         } | {'allocating': self.links.describe()}
 
 
+def entitle(slots: table.SlotTable, place: tuple[int, int]) -> None:
+    """Count what an equal division would give this instance.
+
+    Args:
+        slots: Uses of the upstreams.
+        place: Index of this instance among all, and their count.
+    """
+    listed = [use.upstream for use in slots.uses.values()]
+    equal = division.equal_shares(listed, *place)
+    for pool in slots.pools.values():
+        pool.entitled = 0
+    for known in listed:
+        slots.pool(known.pool).entitled += equal[known.name]
+
+
 class LeavingTeller:
     """Tells every peer that an upstream leaves."""
 
