--- a/features/steps/submission_ids_steps.py
+++ b/features/steps/submission_ids_steps.py
@@ -73,3 +73,23 @@
 def then_id_kept(context, sequence):
     parsed = context.ids[sequence - 1]
     assert context.book.find(identity.format_id(parsed)).outcome
+
+
+@behave.when('the submission {sequence:d} runs here again and 3 others end')
+def when_runs_again(context, sequence):
+    back = identity.format_id(context.ids[sequence - 1])
+    context.book.open(back, outcomes.Entry(digest='d', sequence=sequence))
+    for _ in range(3):
+        other = context.minter.mint_parsed(TEAM)
+        other_id = identity.format_id(other)
+        entry = outcomes.Entry(digest='d', sequence=other.sequence)
+        context.book.open(other_id, entry)
+        context.book.close(other_id, jobs.JobCompleted(answers=()))
+
+
+@behave.then('the submission {sequence:d} still runs in the book')
+def then_still_runs(context, sequence):
+    parsed = context.ids[sequence - 1]
+    entry = context.book.find(identity.format_id(parsed))
+    assert entry is not None
+    assert entry.outcome is None
--- a/features/submissions/ids.feature
+++ b/features/submissions/ids.feature
@@ -20,3 +20,8 @@
       | 0       | 9        | BAD_SUBMISSION_ID |
       | 0       | 0        | BAD_SUBMISSION_ID |
       | 3601    | 4        | ID_EXPIRED        |
+
+  Scenario: A submission that came back here outlives its earlier end
+    Given a book that keeps 2 outcomes and 3 submissions that ended
+    When the submission 2 runs here again and 3 others end
+    Then the submission 2 still runs in the book
--- a/packages/guavaroad/src/guavaroad/services/forwarding.py
+++ b/packages/guavaroad/src/guavaroad/services/forwarding.py
@@ -18,7 +18,9 @@
 FORWARDED_HEADER: Final = 'Guavaroad-Forwarded'
 PROBE_PERIOD_S: Final = 0.7
 PROBE_TIMEOUT_S: Final = 1.5
+PROBE_SHARED_S: Final = 0.6
 FAILED_PROBES: Final = 3
+MAX_PROBED_OWNERS: Final = 1000
 
 
 class Method(enum.Enum):
@@ -69,6 +71,50 @@
     epoch: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Probe:
+    """Result of one probe.
+
+    Attributes:
+        alive: Whether the incarnation runs; none if nothing answered.
+        at_s: Monotonic time of the result.
+    """
+
+    alive: bool | None
+    at_s: float
+
+
+class Probes:
+    """Last result for each owner, shared by all who wait for it."""
+
+    def __init__(self) -> None:
+        self.last: dict[identity.Incarnation, Probe] = {}
+
+    def recent(self, owner: identity.Incarnation, now_s: float) -> Probe | None:
+        """Return a result that is fresh enough to stand for a probe."""
+        probe = self.last.get(owner)
+        if probe is None or now_s - probe.at_s > PROBE_SHARED_S:
+            return None
+        return probe
+
+    def keep(self, owner: identity.Incarnation, probe: Probe) -> None:
+        """Keep a result; all are dropped when there are many owners."""
+        if len(self.last) > MAX_PROBED_OWNERS:
+            self.last.clear()
+        self.last[owner] = probe
+
+
+def is_alive(
+    owner: identity.Incarnation, exchange: http_client.Exchange
+) -> bool | None:
+    """Read the answer to a probe; none if nothing answered."""
+    match exchange:
+        case http_client.Reply():
+            body = msgspec.json.decode(exchange.body, type=AliveBody)
+            return body.epoch == owner.epoch
+    return None
+
+
 class Forwarder:
     """Relays requests and answers between instances."""
 
@@ -82,6 +128,7 @@
         self.client = client
         self.timers = timer_service
         self.timeout_s = timeout_s
+        self.probes = Probes()
 
     def send(
         self, owner: identity.Incarnation, request: ForwardedRequest
@@ -127,18 +174,19 @@
         Returns:
             Whether it does; none if nothing answered.
         """
-        exchange = await self.client.exchange(
-            http_client.Call(
-                method='GET',
-                url=self.url_of(owner, '/healthz'),
-                timeout_s=PROBE_TIMEOUT_S,
-            )
+        kept = self.probes.recent(owner, self.timers.now())
+        if kept is not None:
+            return kept.alive
+        call = http_client.Call(
+            method='GET',
+            url=self.url_of(owner, '/healthz'),
+            timeout_s=PROBE_TIMEOUT_S,
         )
-        match exchange:
-            case http_client.Reply():
-                body = msgspec.json.decode(exchange.body, type=AliveBody)
-                return body.epoch == owner.epoch
-        return None
+        exchange = await self.client.exchange(call)
+        alive = is_alive(owner, exchange)
+        probe = Probe(alive=alive, at_s=self.timers.now())
+        self.probes.keep(owner, probe)
+        return alive
 
 
 class Watch:
--- a/packages/guavaroad/src/guavaroad/services/outcomes.py
+++ b/packages/guavaroad/src/guavaroad/services/outcomes.py
@@ -151,8 +151,15 @@
         while self.ended and self.over():
             submission_id, size = self.ended.popleft()
             self.size_bytes -= size
-            dropped = self.entries.pop(submission_id)
-            self.horizon = max(self.horizon, dropped.sequence)
+            self.drop(submission_id)
+
+    def drop(self, submission_id: names.SubmissionId) -> None:
+        """Drop one entry, unless the submission runs here again."""
+        entry = self.entries.get(submission_id)
+        if entry is None or not (entry.outcome or entry.moved):
+            return
+        self.entries.pop(submission_id)
+        self.horizon = max(self.horizon, entry.sequence)
 
     def over(self) -> bool:
         """Return whether a bound is exceeded."""
--- a/packages/guavaroad/src/guavaroad/services/records.py
+++ b/packages/guavaroad/src/guavaroad/services/records.py
@@ -161,6 +161,7 @@
             )
             pending.addCallback(self.answered, len(transaction.changes))
             pending.addErrback(log_broken)
+            pending.addBoth(lambda _: self.wake(LAZY_LINGER_S))
         elif not self.available:
             self.probe()
 
