--- a/bench/slots/runs.py
+++ b/bench/slots/runs.py
@@ -152,7 +152,7 @@
     ]
     links = [known for state in states for known in link_counters(state)]
     orders = sum(
-        state['leases'].get('allocating', {}).get('orders_sent', 0)
+        state['slots'].get('allocating', {}).get('orders_sent', 0)
         for state in states
     )
     cpu_s = math.fsum(
@@ -172,6 +172,6 @@
     """Return the counters of an instance's links."""
     return [
         known['counters']
-        for zone, known in state['leases'].items()
+        for zone, known in state['slots'].items()
         if zone != 'allocating'
     ]
--- a/bench/submission_cost.py
+++ b/bench/submission_cost.py
@@ -112,8 +112,7 @@
 def written(system: fleet.Fleet) -> Written:
     """Return the transactions and rows of the records so far."""
     states = [
-        state_of(one.address)['submissions']['records']
-        for one in system.instances
+        state_of(one.address)['records']['records'] for one in system.instances
     ]
     return (
         sum(state['transactions'] for state in states),
@@ -124,7 +123,7 @@
 def all_written(system: fleet.Fleet) -> bool:
     """Return whether no instance has a record left to write."""
     return all(
-        state_of(one.address)['submissions']['records']['unwritten'] == 0
+        state_of(one.address)['records']['records']['unwritten'] == 0
         for one in system.instances
     )
 
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -134,7 +134,7 @@
 
 
 def record_state(context):
-    return state_of(addresses(context)[0])['submissions']['records']
+    return state_of(addresses(context)[0])['records']['records']
 
 
 @behave.given('the platform holds write {number:d} at the {hold}')
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -114,7 +114,6 @@
             self.dump, self.base, self.configuration, self.bus
         )
         self.dump.add('membership', self.membership.describe)
-        self.dump.add('leases', self.slots.describe)
         self.dump.add('records', self.submissions.describe)
         state_dump.add_work(
             self.dump, self.base, self.submissions.book, self.dispatcher
