Put a patch in force everywhere or refuse it, by one row of the platform

The thin service wrote the head row and let the others find out; a patch was accepted while an instance that never heard of it went on with the old one.

The document, its number, recent operations and the open proposal now share one row: propose, collect a confirmation from everybody who may be serving, commit, each by compare-and-set. A separate proposal row was ruled out: two rows read at different moments can show a committed patch as aborted. The row version orders all that is heard, so nothing late lowers a version.

Before: no confirmation, no repeat by id, no doubt, no start from peers.

Found by the scenarios, each seen to fail first: an instance that had not been asked for work before it was cut off never took itself for isolated; and the scenario of the late read passed without the row version's guard, so it now watches every version served (0, 2, 1, 2 without the guard).

--- a/packages/guavaroad/src/guavaroad/adapters/http_api.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-import loguru
 import msgspec
 import prometheus_client
 from twisted.internet import defer
@@ -16,12 +15,14 @@
     http_api_routes,
     http_api_tokens,
     http_api_writing,
+    logs,
 )
 from guavaroad.domain import codes
 from guavaroad.services import answers, configuration, submissions
 
 _MAX_ID_BLOCK: Final = 10_000
-_LOG_PREFIX: Final = 'api:'
+_MAX_OPERATION_CHARS: Final = 128
+_LOG: Final = logs.logger_of('api')
 
 
 class Pages:
@@ -77,9 +78,10 @@
         """Take a submission and answer when it has ended."""
         return self.submissions.submit(http_api_reading.submission_of(visit))
 
-    def show_config(self, _: http_api_routes.Visit) -> answers.Answer:
-        """Answer with the configuration in force."""
-        return self.configuration.show()
+    def show_config(self, visit: http_api_routes.Visit) -> answers.Answer:
+        """Answer with the configuration in force, or an operation's state."""
+        operation = http_api_reading.query_of(visit.request, b'operation')
+        return self.configuration.show(operation)
 
     def patch_config(self, visit: http_api_routes.Visit) -> Any:
         """Apply a merge patch to a version."""
@@ -91,7 +93,12 @@
             msgspec.json.decode(change)
         except (msgspec.DecodeError, UnicodeDecodeError) as broken:
             return bad_request(f'the patch is not JSON: {broken}')
-        return self.configuration.patch(base, change)
+        operation = http_api_reading.text_header(
+            visit.request, b'Idempotency-Key'
+        )
+        if len(operation) > _MAX_OPERATION_CHARS:
+            return bad_request('Idempotency-Key is too long')
+        return self.configuration.patch(base, change, operation)
 
     def show_state(self, _: http_api_routes.Visit) -> answers.Answer:
         """Answer with the dump of this process."""
@@ -225,6 +232,4 @@
 
 def log_broken(broken: failure.Failure) -> None:
     """Log an exception that nothing expected."""
-    loguru.logger.opt(exception=broken.value).error(
-        '{} internal error', _LOG_PREFIX
-    )
+    _LOG.opt(exception=broken.value).error('internal error')
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -3,12 +3,17 @@
 from typing import Any, Final
 
 import prometheus_client
-from twisted.internet import defer
 
 from guavaroad import composition, settings
-from guavaroad.adapters import http_api, http_api_tokens, logs
+from guavaroad.adapters import (
+    http_api,
+    http_api_site,
+    http_api_tokens,
+    logs,
+)
+from guavaroad.domain import names
 from guavaroad.ports import platform
-from guavaroad.services import dispatch
+from guavaroad.services import dispatch, drain
 
 _LOG: Final = logs.logger_of('app')
 
@@ -18,6 +23,7 @@
 
     Attributes:
         base: What every part is built on.
+        exit_code: Exit code of the process, once the loop has ended.
     """
 
     def __init__(self, *, reactor: Any, chosen: settings.Settings) -> None:
@@ -26,7 +32,7 @@
         self.bus = composition.peer_bus(self.base)
         self.membership = composition.membership_service(self.base, self.bus)
         self.configuration = composition.configuration_service(
-            self.base, self.platform
+            self.base, self.platform, self.membership
         )
         self.directory = composition.directory_service(self.base, self.platform)
         self.dispatcher = composition.dispatcher(self.base)
@@ -34,8 +40,21 @@
             self.base, self.dispatcher, self.configuration
         )
         self.membership.shown.load = self.queued_tasks
+        self.configuration.peers.in_use = self.jobs_in_use
+        self.site = self.client_site()
+        self.drain = composition.drain_service(
+            self.base, self.submissions, self.site
+        )
+        self.drain.ended.addCallback(self.stopped)
+        self.submissions.config_refusal = self.configuration.refusal
+        self.drain.hooks.on_leaving.append(self.membership.leave)
+        self.drain.hooks.on_closing.extend(
+            (self.membership.stop, self.bus.stop)
+        )
+        self.exit_code = 0
         self.directory.on_change.append(self.upstreams_changed)
         self.directory.on_change.append(self.membership.list_changed)
+        self.directory.on_change.append(self.configuration.list_changed)
 
     def upstreams_changed(self, listed: platform.InstanceList) -> None:
         """Divide the listed upstreams among the listed instances."""
@@ -47,8 +66,13 @@
         """Return the tasks that wait here."""
         return self.dispatcher.queue.task_count
 
-    def listen(self) -> Any:
-        """Open the client port and begin to follow the platform."""
+    def jobs_in_use(self) -> set[names.JobName]:
+        """Return the jobs that have tasks waiting or running here."""
+        queued = self.dispatcher.queue.jobs.values()
+        return {one.job.request.job for one in queued}
+
+    def client_site(self) -> http_api_site.ApiSite:
+        """Return the site of the client port."""
         pages = http_api.Pages(
             submission_service=self.submissions,
             configuration_service=self.configuration,
@@ -59,18 +83,24 @@
             tokens=http_api_tokens.Tokens(tokens=self.base.settings.tokens),
             routes=http_api.route_table(pages),
         )
-        site = composition.client_site(self.base, api)
-        address = self.base.incarnation.address
-        host, _, port = address.rpartition(':')
-        self.configuration.refresh()
-        self.directory.refresh()
-        _LOG.info('listening on {}', address)
-        return self.base.reactor.listenTCP(int(port), site, interface=host)
+        return composition.client_site(self.base, api)
 
-    def join_peers(self) -> None:
-        """Begin to take messages of peers."""
+    def listen(self) -> None:
+        """Open the ports and begin to follow the platform."""
+        self.open_client_port()
         self.bus.start()
         self.membership.start()
+        self.configuration.refresh()
+        self.directory.refresh()
+        _LOG.info('listening on {}', self.base.incarnation.address)
+
+    def open_client_port(self) -> None:
+        """Open the port for clients, operators and forwarding peers."""
+        host, _, number = self.base.incarnation.address.rpartition(':')
+        port = self.base.reactor.listenTCP(
+            int(number), self.site, interface=host
+        )
+        self.drain.hooks.on_closing.append(port.stopListening)
 
     def state(self) -> dict[str, Any]:
         """Return the dump of this process's state."""
@@ -81,6 +111,7 @@
             'address': incarnation.address,
             'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
+            'configuration': self.configuration.describe(),
             'membership': self.membership.describe(),
             'bus': self.bus.describe(),
             'queued_tasks': self.dispatcher.queue.task_count,
@@ -94,7 +125,11 @@
             ],
         }
 
-    def stop(self) -> 'defer.Deferred[None]':
-        """Refuse new work."""
-        self.submissions.draining = True
-        return defer.succeed(None)
+    def stop(self) -> None:
+        """Begin the planned stop; a second call ends it."""
+        self.drain.request_stop()
+
+    def stopped(self, result: drain.DrainResult) -> None:
+        """End the loop once the planned stop has ended."""
+        self.exit_code = drain.exit_code(result)
+        self.base.reactor.stop()
--- a/packages/guavaroad/src/guavaroad/domain/configuration/document.py
+++ b/packages/guavaroad/src/guavaroad/domain/configuration/document.py
@@ -53,6 +53,10 @@
     )
 
 
+class Pool(Strict):
+    """One upstream pool that jobs may name."""
+
+
 class Job(Strict):
     """One kind of job.
 
@@ -77,6 +81,11 @@
     }
 
 
+def default_pools() -> dict[str, Pool]:
+    """Return the pools of an empty document."""
+    return {'main': Pool()}
+
+
 class Document(Strict):
     """The whole configuration.
 
@@ -84,6 +93,7 @@
         classes: Urgency classes.
         teams: Teams by name.
         jobs: Jobs by name.
+        pools: Upstream pools by name.
     """
 
     classes: dict[jobs.Urgency, UrgencyClass] = pydantic.Field(
@@ -91,6 +101,7 @@
     )
     teams: dict[Name, Team] = pydantic.Field(default_factory=dict)
     jobs: dict[Name, Job] = pydantic.Field(default_factory=dict)
+    pools: dict[Name, Pool] = pydantic.Field(default_factory=default_pools)
 
     @pydantic.model_validator(mode='after')
     def check_whole(self) -> 'Document':
@@ -102,8 +113,18 @@
             unknown = sorted(set(job.teams) - set(self.teams))
             if unknown:
                 raise ValueError(f'jobs.{name}.teams: no team {unknown[0]}')
+            if job.pool not in self.pools:
+                raise ValueError(f'jobs.{name}.pool: no pool {job.pool}')
         return self
 
+    def facts_of_job(self, name: names.JobName) -> Any:
+        """Return all that decides how a job is treated, for comparison."""
+        job = self.jobs.get(name)
+        if job is None:
+            return None
+        teams = [self.teams[team] for team in job.teams]
+        return job, teams, self.classes, self.pools.get(job.pool)
+
     def job_named(self, name: names.JobName) -> Job | None:
         """Return the job of that name, if there is one."""
         return self.jobs.get(name)
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/services/head_row.py
@@ -0,0 +1,95 @@
+"""Reads and writes the head row on the platform's table."""
+
+import dataclasses
+from typing import Any, Final
+
+from twisted.internet import defer
+
+from guavaroad.domain.configuration import record
+from guavaroad.ports import platform, timers
+
+HEAD_KEY: Final = 'config/head'
+_RETRY_S: Final = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HeadRow:
+    """The head row as it was read.
+
+    Attributes:
+        row_version: Its version, 0 if there is no row.
+        body: Its body.
+    """
+
+    row_version: int
+    body: record.Record
+
+
+class HeadTable:
+    """The one row that the configuration is kept in."""
+
+    def __init__(
+        self,
+        *,
+        table: platform.TablePort,
+        timer_service: timers.TimerService,
+    ) -> None:
+        self.table = table
+        self.timers = timer_service
+
+    async def read(self) -> HeadRow | platform.Away:
+        """Read the row."""
+        found = await self.table.read(HEAD_KEY)
+        match found:
+            case platform.Row():
+                return row_of(found)
+        return found
+
+    async def write(
+        self,
+        operation_id: str,
+        row_version: int,
+        body: record.Record,
+        *,
+        budget_s: float,
+    ) -> platform.WriteOutcome:
+        """Replace the row, and settle a lost answer by asking again.
+
+        Args:
+            operation_id: Unique for this step; a repeat writes nothing.
+            row_version: Version that must be there.
+            body: New body.
+            budget_s: Longest time to go on asking, seconds.
+
+        Returns:
+            The outcome; `Unknown` only if some try may have arrived and no
+            answer came in time.
+        """
+        give_up_s = self.timers.now() + budget_s
+        write = platform.RowWrite(
+            key=HEAD_KEY,
+            expected_version=row_version,
+            body=record.encode(body),
+        )
+        unsettled: platform.Unknown | None = None
+        while True:
+            outcome = await self.table.transact(operation_id, (write,))
+            match outcome:
+                case platform.Committed() | platform.Conflict():
+                    return outcome
+                case platform.Unknown():
+                    unsettled = outcome
+            if self.timers.now() >= give_up_s:
+                return unsettled or outcome
+            await self.pause(_RETRY_S)
+
+    def pause(self, seconds: float) -> 'defer.Deferred[None]':
+        """Return a Deferred that fires after some seconds."""
+        waiting: defer.Deferred[Any] = defer.Deferred()
+        self.timers.call_after(seconds, lambda: waiting.callback(None))
+        return waiting
+
+
+def row_of(row: platform.Row) -> HeadRow:
+    """Decode the head row."""
+    return HeadRow(row_version=row.version, body=record.decode(row.body))
--- a/packages/guavaroad/src/guavaroad/services/submissions.py
+++ b/packages/guavaroad/src/guavaroad/services/submissions.py
@@ -8,8 +8,9 @@
 import xxhash
 from twisted.internet import defer
 
-from guavaroad.domain import codes, identity, jobs, names, submission
+from guavaroad.domain import codes, identity, jobs, names
 from guavaroad.domain.configuration import document
+from guavaroad.domain.submissions import submission
 from guavaroad.ports import timers
 from guavaroad.services import answers, dispatch, forwarding, outcomes
 
@@ -53,6 +54,7 @@
 
 
 Pending = defer.Deferred[answers.Answer]
+ConfigRefusal = Callable[[names.JobName], codes.ResultCode | None]
 
 
 class Minter:
@@ -99,9 +101,14 @@
         self.forwarder = forwarder
         self.book = book
         self.configuration = configuration
+        self.config_refusal: ConfigRefusal = no_refusal
         self.default_deadline_s = default_deadline_s
         self.draining = False
 
+    def refuse_new(self) -> None:
+        """Take no new submission; known ones go on."""
+        self.draining = True
+
     def mint_block(self, team: names.TeamName, count: int) -> answers.Answer:
         """Answer a request for fresh ids."""
         minted = [self.minter.mint(team) for _ in range(count)]
@@ -193,8 +200,11 @@
     ) -> jobs.JobRequest | jobs.JobEnded:
         """Check a request against the configuration and the limits."""
         config = self.configuration()
-        if config is None:
-            return jobs.JobEnded(code=codes.ResultCode.NO_CONFIGURATION)
+        uncertain = self.config_refusal(request.job)
+        if config is None or uncertain is not None:
+            return jobs.JobEnded(
+                code=uncertain or codes.ResultCode.NO_CONFIGURATION
+            )
         job = config.job_named(request.job)
         if job is None:
             return jobs.JobEnded(code=codes.ResultCode.UNKNOWN_JOB)
@@ -278,6 +288,10 @@
         )
 
 
+def no_refusal(_: names.JobName) -> None:
+    """Refuse no job for an uncertain configuration."""
+
+
 def decode_body(body: bytes) -> SubmitBody | jobs.JobEnded:
     """Decode the body of a submission.
 
--- a/standins/src/guavaroad_standins/mesh.py
+++ b/standins/src/guavaroad_standins/mesh.py
@@ -1,4 +1,4 @@
-"""Many membership services on one fake timer and an in-memory bus."""
+"""Membership and configuration of many instances on one fake timer."""
 
 import dataclasses
 from typing import Final
@@ -8,8 +8,8 @@
 from guavaroad.adapters import reactor_timers
 from guavaroad.domain import identity, names
 from guavaroad.ports import peers, platform
-from guavaroad.services import membership
-from guavaroad_standins import memory_bus
+from guavaroad.services import configuration, membership
+from guavaroad_standins import memory_bus, memory_table
 
 STEP_S: Final = 0.05
 _FIRST_PORT: Final = 9000
@@ -26,6 +26,8 @@
         bus: Its bus.
         service: Its membership.
         clock: Its own clock, which stands still while it is frozen.
+        platform: Its way to the platform.
+        configuration: Its configuration service.
     """
 
     name: str
@@ -34,6 +36,8 @@
     bus: memory_bus.MemoryBus
     service: membership.MembershipService
     clock: task.Clock
+    platform: memory_table.MemoryPlatform
+    configuration: configuration.ConfigurationService
 
 
 class Mesh:
@@ -46,6 +50,7 @@
         )
         self.network = memory_bus.Network(timer_service=self.timers)
         self.nodes: dict[str, Node] = {}
+        self.rows = memory_table.Rows()
         self.lives = 0
         for zone in range(zones):
             for number in range(per_zone):
@@ -69,24 +74,47 @@
         bus = self.network.attach(incarnation, address)
         clock = task.Clock()
         clock.advance(self.clock.seconds())
-        node = Node(
+        node = self.node(name, incarnation, bus, clock)
+        self.nodes[name] = node
+        return node
+
+    def node(
+        self,
+        name: str,
+        incarnation: identity.Incarnation,
+        bus: memory_bus.MemoryBus,
+        clock: task.Clock,
+    ) -> Node:
+        """Wire one instance."""
+        timers = reactor_timers.ReactorTimers(
+            clock=clock, wall_clock=self.clock.seconds
+        )
+        reached = memory_table.MemoryPlatform(
+            rows=self.rows, timer_service=timers
+        )
+        service = membership.MembershipService(
+            own=incarnation,
+            peer_address=bus.address,
+            bus=bus,
+            timer_service=timers,
+            seeds=self.seeds(),
+        )
+        return Node(
             name=name,
             incarnation=incarnation,
-            peer_address=address,
+            peer_address=bus.address,
             bus=bus,
             clock=clock,
-            service=membership.MembershipService(
-                own=incarnation,
-                peer_address=address,
-                bus=bus,
-                timer_service=reactor_timers.ReactorTimers(
-                    clock=clock, wall_clock=self.clock.seconds
-                ),
-                seeds=self.seeds(),
+            service=service,
+            platform=reached,
+            configuration=configuration.ConfigurationService(
+                table=reached,
+                directory=reached,
+                members=service,
+                timer_service=timers,
+                period_s=1,
             ),
         )
-        self.nodes[name] = node
-        return node
 
     def start(self) -> None:
         """Start every instance with everybody as a seed."""
@@ -96,6 +124,24 @@
                 platform.InstanceList(entries=(), upstreams=())
             )
             node.service.start()
+            node.configuration.refresh()
+        self.publish()
+
+    def publish(self) -> None:
+        """Let the platform list every instance that lives now."""
+        listed = platform.InstanceList(
+            entries=tuple(
+                platform.ListedInstance(
+                    availability_zone=node.incarnation.availability_zone,
+                    address=node.incarnation.address,
+                    peer_address=node.peer_address,
+                )
+                for node in self.nodes.values()
+            ),
+            upstreams=(),
+        )
+        for node in self.nodes.values():
+            node.platform.listed = listed
 
     def kill(self, name: str) -> Node:
         """End an instance without a word."""
