--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.ready
 
-.PHONY: setup format lint types scenarios test demo bench capacity clean
+.PHONY: setup format lint types scenarios test pages demo bench capacity clean
 
 $(STAMP): pyproject.toml constraints.txt requirements-dev.txt packages/guavaroad/pyproject.toml packages/guavaroadctl/pyproject.toml standins/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -32,11 +32,15 @@
 
 test: lint types scenarios
 
+pages: setup
+	$(BIN)/python tools/codes_page.py
+	$(BIN)/python tools/settings_table.py
+
 demo: setup
 	$(BIN)/python tools/demo.py
 
 bench: setup
-	$(BIN)/python bench/run.py
+	$(BIN)/python -m bench.slots
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -4,16 +4,20 @@
 
 import prometheus_client
 
-from guavaroad import composition, settings
+from guavaroad import (
+    composition,
+    composition_dispatch,
+    settings,
+)
 from guavaroad.adapters import (
+    client_port,
     http_api,
     http_api_site,
     http_api_tokens,
     logs,
 )
 from guavaroad.domain import names
-from guavaroad.ports import platform
-from guavaroad.services import dispatch, drain
+from guavaroad.services import drain
 
 _LOG: Final = logs.logger_of('app')
 
@@ -35,11 +39,12 @@
             self.base, self.platform, self.membership
         )
         self.directory = composition.directory_service(self.base, self.platform)
-        self.dispatcher = composition.dispatcher(self.base)
+        self.dispatcher = composition_dispatch.dispatcher(
+            self.base, self.configuration
+        )
         self.submissions = composition.submission_service(
             self.base, self.dispatcher, self.configuration
         )
-        self.membership.shown.load = self.queued_tasks
         self.configuration.peers.in_use = self.jobs_in_use
         self.site = self.client_site()
         self.drain = composition.drain_service(
@@ -52,16 +57,15 @@
             (self.membership.stop, self.bus.stop)
         )
         self.exit_code = 0
-        self.directory.on_change.append(self.upstreams_changed)
+        self.membership.shown.load = self.queued_tasks
+        self.slots = composition_dispatch.slot_keeper(
+            self.base, self.dispatcher, self.bus, self.membership
+        )
+        self.directory.on_change.append(self.slots.list_changed)
+        self.drain.hooks.on_leaving.append(self.slots.drain)
         self.directory.on_change.append(self.membership.list_changed)
         self.directory.on_change.append(self.configuration.list_changed)
 
-    def upstreams_changed(self, listed: platform.InstanceList) -> None:
-        """Divide the listed upstreams among the listed instances."""
-        self.dispatcher.set_upstreams(
-            dispatch.static_uses(listed.upstreams, len(listed.entries))
-        )
-
     def queued_tasks(self) -> int:
         """Return the tasks that wait here."""
         return self.dispatcher.queue.task_count
@@ -96,9 +100,8 @@
 
     def open_client_port(self) -> None:
         """Open the port for clients, operators and forwarding peers."""
-        host, _, number = self.base.incarnation.address.rpartition(':')
-        port = self.base.reactor.listenTCP(
-            int(number), self.site, interface=host
+        port = client_port.listen(
+            self.base.reactor, self.base.settings, self.site
         )
         self.drain.hooks.on_closing.append(port.stopListening)
 
@@ -112,17 +115,10 @@
             'epoch': incarnation.epoch,
             'config_version': known.version if known else None,
             'configuration': self.configuration.describe(),
+            'dispatch': self.dispatcher.describe(),
+            'slots': self.slots.describe(),
             'membership': self.membership.describe(),
             'bus': self.bus.describe(),
-            'queued_tasks': self.dispatcher.queue.task_count,
-            'upstreams': [
-                {
-                    'name': use.upstream.name,
-                    'share': use.share,
-                    'running': use.running,
-                }
-                for use in self.dispatcher.uses.values()
-            ],
         }
 
     def stop(self) -> None:
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -10,7 +10,6 @@
     http_api_site,
     http_client,
     http_platform,
-    http_upstreams,
     nng_peers,
     peer_wire,
     reactor_timers,
@@ -61,6 +60,8 @@
             reactor=reactor,
             connections_per_host=connection_share(chosen.limits),
             connect_timeout_s=_CONNECT_TIMEOUT_S,
+            trust=chosen.tls.trust() if chosen.tls else None,
+            instance_scheme='https' if chosen.tls else 'http',
         ),
     )
 
@@ -100,6 +101,8 @@
             epoch=incarnation.epoch,
             peer_address=names.PeerAddress(instance.peer_address),
         ),
+        # Parts collect their messages for ticks of their own.
+        tick_s=0,
     )
 
 
@@ -143,18 +146,6 @@
     )
 
 
-def dispatcher(base: Foundation) -> dispatch.Dispatcher:
-    """Return the part that starts queued tasks."""
-    limits = base.settings.limits
-    return dispatch.Dispatcher(
-        port=http_upstreams.HttpUpstreams(
-            client=base.client, attempt_timeout_s=limits.attempt_timeout_s
-        ),
-        timer_service=base.timers,
-        max_queued_tasks=limits.queued_tasks,
-    )
-
-
 def submission_service(
     base: Foundation,
     dispatching: dispatch.Dispatcher,
--- a/packages/guavaroad/src/guavaroad/domain/configuration/document.py
+++ b/packages/guavaroad/src/guavaroad/domain/configuration/document.py
@@ -20,6 +20,7 @@
 _SHOWN_CHARS: Final = 80
 
 Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+Reserve = Annotated[float, pydantic.Field(ge=0, le=0.5)]
 Name = Annotated[str, pydantic.Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 
 
@@ -94,6 +95,7 @@
         teams: Teams by name.
         jobs: Jobs by name.
         pools: Upstream pools by name.
+        reserve: Part of the slots that classes above their share leave free.
     """
 
     classes: dict[jobs.Urgency, UrgencyClass] = pydantic.Field(
@@ -102,6 +104,7 @@
     teams: dict[Name, Team] = pydantic.Field(default_factory=dict)
     jobs: dict[Name, Job] = pydantic.Field(default_factory=dict)
     pools: dict[Name, Pool] = pydantic.Field(default_factory=default_pools)
+    reserve: Reserve = 0
 
     @pydantic.model_validator(mode='after')
     def check_whole(self) -> 'Document':
@@ -123,7 +126,8 @@
         if job is None:
             return None
         teams = [self.teams[team] for team in job.teams]
-        return job, teams, self.classes, self.pools.get(job.pool)
+        pool = self.pools.get(job.pool)
+        return job, teams, self.classes, pool, self.reserve
 
     def job_named(self, name: names.JobName) -> Job | None:
         """Return the job of that name, if there is one."""
--- a/packages/guavaroad/src/guavaroad/main.py
+++ b/packages/guavaroad/src/guavaroad/main.py
@@ -1,38 +1,39 @@
 """The `guavaroad` binary: runs one entry instance."""
 
 import asyncio
-import pathlib
 import sys
-from collections.abc import Sequence
 
-from absl import app as absl_app
-from absl import flags
+import pynng
 from twisted.internet import asyncioreactor, error
 from twisted.internet import main as reactor_main
 
-from guavaroad import __version__, app, settings
-from guavaroad.adapters import logs, stop_signals
+from guavaroad import __version__, app, options, settings
+from guavaroad.adapters import command_flags, logs, stop_signals
 
-_SETTINGS = flags.DEFINE_string(
-    'settings', 'guavaroad.yaml', 'YAML file with the settings.'
-)
-_CHECK = flags.DEFINE_bool('check', False, 'Check the settings and exit.')
-_VERSION = flags.DEFINE_bool('version', False, 'Print the version and exit.')
 
+def main(argv: list[str]) -> None:
+    """Run until the process is told to stop.
 
-def main(argv: Sequence[str]) -> None:
-    """Run until the process is told to stop."""
-    if argv[1:]:
-        sys.exit(f'guavaroad: unexpected argument {argv[1]!r}')
-    if _VERSION.value:
+    Args:
+        argv: Program name and flags.
+    """
+    words = command_flags.read(
+        argv,
+        program='guavaroad',
+        usage=options.USAGE,
+        module=options.__name__,
+    )
+    if words:
+        sys.exit(f'guavaroad: unexpected argument {words[0]!r}')
+    if options.wants_version():
         sys.stdout.write(f'guavaroad {__version__}\n')
         return
-    loaded = settings.load_settings(pathlib.Path(_SETTINGS.value))
+    loaded = settings.load_settings(options.settings_path())
     match loaded:
         case settings.BadSettings():
             sys.exit('\n'.join(loaded.problems))
         case settings.Settings():
-            if _CHECK.value:
+            if options.check_only():
                 sys.stdout.write('settings: valid\n')
                 return
             serve(loaded)
@@ -52,6 +53,9 @@
         application.listen()
     except error.CannotListenError as taken:
         sys.exit(f'guavaroad: no port: {taken}')
+    except pynng.NNGException as refused:
+        peer_address = chosen.instance.peer_address
+        sys.exit(f'guavaroad: no port: {peer_address}: {refused}')
     stop_signals.follow(reactor, application.stop)
     reactor.run(installSignalHandlers=False)
     sys.exit(application.exit_code)
@@ -59,7 +63,7 @@
 
 def run() -> None:
     """Entry point of the console script."""
-    absl_app.run(main)
+    main(sys.argv)
 
 
 if __name__ == '__main__':
--- a/packages/guavaroad/src/guavaroad/services/submissions.py
+++ b/packages/guavaroad/src/guavaroad/services/submissions.py
@@ -8,7 +8,7 @@
 import xxhash
 from twisted.internet import defer
 
-from guavaroad.domain import codes, identity, jobs, names
+from guavaroad.domain import codes, identity, jobs, json_input, names
 from guavaroad.domain.configuration import document
 from guavaroad.domain.submissions import submission
 from guavaroad.ports import timers
@@ -217,7 +217,8 @@
         refusal = self.refusal(len(body.tasks), job.max_tasks)
         if refusal is not None:
             return jobs.JobEnded(code=refusal)
-        return self.job_request(submission_id, request, body, job, digest)
+        checked = self.job_request(submission_id, request, body, job, digest)
+        return self.dispatcher.refuse(checked) or checked
 
     def refusal(
         self, task_count: int, max_tasks: int
@@ -301,12 +302,12 @@
     Returns:
         The body, or the refusal that says what is wrong with it.
     """
-    try:
-        decoded = msgspec.json.decode(body, type=SubmitBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as broken:
-        return jobs.JobEnded(
-            code=codes.ResultCode.BAD_REQUEST, detail=str(broken)
-        )
+    decoded = json_input.decode(body, SubmitBody)
+    match decoded:
+        case json_input.Malformed():
+            return jobs.JobEnded(
+                code=codes.ResultCode.BAD_REQUEST, detail=decoded.reason
+            )
     if not decoded.tasks:
         return jobs.JobEnded(
             code=codes.ResultCode.BAD_REQUEST, detail='tasks is empty'
