Keep a zone's members while a new list is on its way, and send lists once

Two faults, each seen to fail first. An instance that heard the hash of a list it lacked took the whole zone for dead until the list came ("A list that is lost" failed); it now keeps the list before. A driver that read an old state of the head row refused a patch of the live version as stale and named an older one ("though a read is old" failed with "the live version is 1"); it now goes on from the newest row it knows.

Lists cross a zone border only when they change (the scenario fails when they go every second).

A lost answer to either write is now seen to be settled: without asking again the operator got PLATFORM_AWAY and PATCH_UNKNOWN (both scenarios failed). Rules taken out one by one, each caught by its scenario: doubt, isolation, relays, repeats, asking peers, leaving out the silent, the platform's list (both ways), jobs in use, expiry.

--- a/features/configuration/patches.feature
+++ b/features/configuration/patches.feature
@@ -133,6 +133,18 @@
       | takes 3 s for each answer since | open   |
       | takes 3 s for each answer since | commit |
 
+  Scenario Outline: A lost answer is settled by asking again
+    Given a configured mesh of 2 zones with 2 instances each
+    When the platform loses one answer to the <step> of a patch at "zone-0/1"
+    And 2 s pass
+    Then the operator's answer is PATCH_ACCEPTED
+    And every instance serves version 2
+
+    Examples:
+      | step   |
+      | open   |
+      | commit |
+
   Scenario: A patch while the platform is away is refused as not applied
     Given a configured mesh of 2 zones with 2 instances each
     When nobody reaches the platform
@@ -150,6 +162,16 @@
     Then it never changed its version after that
     And every instance serves version 2
 
+  Scenario: A patch of the live version is accepted though a read is old
+    Given a configured mesh of 2 zones with 2 instances each
+    When an operator patches job "render" to 50 tasks at "zone-1/1"
+    And 1 s passes
+    And "zone-0/0" reads the first 2 states of the row late
+    And an operator patches version 2 at "zone-0/0"
+    And 3 s pass
+    Then the operator's answer is PATCH_ACCEPTED
+    And every instance serves version 3
+
   Scenario: A single silent instance is left out after its lease
     Given a configured mesh of 3 zones with 3 instances each
     When "zone-1/2" is cut off from everything
--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -122,3 +122,18 @@
     And 5 s pass
     When 20 s are watched
     Then nobody ever saw "zone-1/0" dead
+
+  Scenario: A zone's list crosses the border only when it changes
+    Given a mesh of 3 zones with 3 instances each
+    And 5 s pass
+    Then no list of a zone is sent in the next 8 s
+
+  Scenario: A list that is lost on its way is asked for, and harms nobody
+    Given a mesh of 3 zones with 3 instances each
+    And 5 s pass
+    When instance "zone-1/0" is killed
+    And the lists of zones are lost from now on
+    And 6 s are watched
+    Then everybody sees "zone-1/0" as dead or not at all
+    And nobody ever saw "zone-1/1" dead
+    And everybody sees every other instance alive
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -93,6 +93,11 @@
     ask(context, name, 1, patch_of(tasks))
 
 
+@behave.when('an operator patches version {base:d} at "{name}"')
+def when_patches_version(context, base, name):
+    ask(context, name, base, patch_of(60))
+
+
 @behave.when('an operator sends the patch {patch}')
 def when_sends_patch(context, patch):
     ask(context, 'zone-0/0', 1, patch.encode())
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -6,6 +6,7 @@
 import behave
 
 from guavaroad.domain import names
+from guavaroad.domain.membership import messages
 from guavaroad.ports import peers, platform
 from guavaroad_standins import calls, fleet, mesh, processes
 
@@ -133,6 +134,24 @@
     context.mesh.network.join()
 
 
+def is_list(carried):
+    message = carried.message.message
+    return isinstance(message, messages.ZoneNews) and message.report.cards
+
+
+@behave.then('no list of a zone is sent in the next {seconds:g} s')
+def then_no_list(context, seconds):
+    log = context.mesh.network.log
+    log.clear()
+    context.mesh.run(seconds)
+    assert not list(filter(is_list, log))
+
+
+@behave.when('the lists of zones are lost from now on')
+def when_lists_lost(context):
+    context.mesh.network.loses = is_list
+
+
 @behave.when('{seconds:g} s are watched')
 def when_watched(context, seconds):
     context.seen_dead = set()
--- a/packages/guavaroad/src/guavaroad/domain/membership/listener.py
+++ b/packages/guavaroad/src/guavaroad/domain/membership/listener.py
@@ -126,12 +126,21 @@
             if not self.view.zone_named(report.zone).take(report, now_s)
         ]
 
+    def cards_of(
+        self, wanted: messages.CardsWanted, now_s: float
+    ) -> tuple[messages.Card, ...]:
+        """Return the cards of a revision, none if they are not known."""
+        if wanted.zone == self.view.zone:
+            report = self.view.report(now_s)
+            return report.cards if report.revision == wanted.revision else ()
+        zone = self.view.zones.get(wanted.zone)
+        return zone.revisions.get(wanted.revision, ()) if zone else ()
+
     def cards_wanted(
-        self, sender: Contact, wanted: messages.CardsWanted
+        self, sender: Contact, wanted: messages.CardsWanted, now_s: float
     ) -> list[speaker.Outgoing]:
         """Send the cards of a revision, if they are known."""
-        zone = self.view.zones.get(wanted.zone)
-        cards = zone.revisions.get(wanted.revision, ()) if zone else ()
+        cards = self.cards_of(wanted, now_s)
         if not cards:
             return []
         told = messages.CardsSent(
--- a/packages/guavaroad/src/guavaroad/domain/membership/speaker.py
+++ b/packages/guavaroad/src/guavaroad/domain/membership/speaker.py
@@ -15,6 +15,8 @@
 
 _GREETINGS_PER_TICK: Final = 8
 _PROBES: Final = 3
+# Revision of the last report and whom it went to.
+Told = tuple[int | names.PeerAddress, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,7 +54,7 @@
         self.seeds: list[names.PeerAddress] = []
         self.next_seed = 0
         self.fresh_reports: dict[names.Epoch, messages.ZoneReport] = {}
-        self.last_told: tuple[int | names.PeerAddress, ...] = ()
+        self.last_told: Told = ()
 
     def tick(self, now_s: float) -> list[Outgoing]:
         """Return the messages of one period."""
@@ -75,7 +77,11 @@
         """Report this zone over the links that this instance keeps."""
         report = self.view.report(now_s)
         targets = self.view.link_targets(now_s)
-        self.last_told = (report.revision, *targets)
+        told: Told = (report.revision, *targets)
+        if told == self.last_told:
+            # Whoever missed the cards asks for them by their revision.
+            report = msgspec.structs.replace(report, cards=())
+        self.last_told = told
         news = messages.ZoneNews(report=report, config=self.shown.config())
         return [Outgoing(to=address, message=news) for address in targets]
 
--- a/packages/guavaroad/src/guavaroad/domain/membership/zones.py
+++ b/packages/guavaroad/src/guavaroad/domain/membership/zones.py
@@ -31,10 +31,12 @@
     Attributes:
         revision: Hash of the cards it named.
         heard_s: When the report came, seconds.
+        shown: Latest revision of it whose cards were known.
     """
 
     revision: int
     heard_s: float
+    shown: int
 
     def judge(self, now_s: float) -> standing.Standing:
         """Judge the whole report by its age."""
@@ -67,10 +69,20 @@
         """
         if report.cards:
             self.learn(report.revision, report.cards)
+        known = self.reporters.get(report.reporter)
+        is_known = report.revision in self.revisions
+        before = report.revision if known is None else known.shown
         self.reporters[report.reporter] = Reporter(
-            revision=report.revision, heard_s=now_s
+            revision=report.revision,
+            heard_s=now_s,
+            shown=report.revision if is_known else before,
         )
-        return report.revision in self.revisions
+        return is_known
+
+    def cards_of(self, reporter: Reporter) -> tuple[messages.Card, ...]:
+        """Return what it named, or named before while the cards lack."""
+        earlier = self.revisions.get(reporter.shown, ())
+        return self.revisions.get(reporter.revision, earlier)
 
     def learn(self, revision: int, cards: tuple[messages.Card, ...]) -> None:
         """Keep the cards of a revision."""
@@ -94,7 +106,7 @@
             state = reporter.judge(now_s)
             if state is standing.Standing.DEAD:
                 continue
-            for card in self.revisions.get(reporter.revision, ()):
+            for card in self.cards_of(reporter):
                 found[card.epoch] = self.member(card, state)
         return found
 
@@ -152,7 +164,7 @@
         named = {
             card.epoch
             for reporter in self.reporters.values()
-            for card in self.revisions.get(reporter.revision, ())
+            for card in self.cards_of(reporter)
         }
         gone = [
             card for epoch, card in self.last_seen.items() if epoch not in named
--- a/packages/guavaroad/src/guavaroad/services/membership_inbox.py
+++ b/packages/guavaroad/src/guavaroad/services/membership_inbox.py
@@ -64,7 +64,8 @@
         self, peer: peers.Peer, wanted: messages.CardsWanted
     ) -> None:
         """Answer with the cards of a revision."""
-        self.send(self.listener.cards_wanted(contact(peer), wanted))
+        now_s = self.now()
+        self.send(self.listener.cards_wanted(contact(peer), wanted, now_s))
 
     def on_cards(self, _: peers.Peer, told: messages.CardsSent) -> None:
         """Take the cards of a revision."""
--- a/packages/guavaroad/src/guavaroad/services/patching.py
+++ b/packages/guavaroad/src/guavaroad/services/patching.py
@@ -85,7 +85,7 @@
                 case platform.Away():
                     return refused(codes.ResultCode.PLATFORM_AWAY, row.detail)
             self.parts.learn(row.row_version, row.body)
-            answer = await self.attempt(row)
+            answer = await self.attempt(self.newest(row))
             if answer is not None:
                 return answer
             if self.parts.timers.now() > self.give_up_s:
@@ -95,6 +95,13 @@
                 )
             await self.parts.head.pause(_WAIT_S)
 
+    def newest(self, row: head_row.HeadRow) -> head_row.HeadRow:
+        """Return the known row instead of an old one that was read late."""
+        known = self.parts.peers.follower.known
+        if known is None or known.row_version <= row.row_version:
+            return row
+        return head_row.HeadRow(row_version=known.row_version, body=known.body)
+
     async def attempt(self, row: head_row.HeadRow) -> answers.Answer | None:
         """Go one step on from a row; none means to look again."""
         known = row.body.accepted(self.request.operation_id)
