--- a/features/steps/edge_support.py
+++ b/features/steps/edge_support.py
@@ -10,8 +10,8 @@
 
 from guavaroad import app, settings
 from guavaroad.domain import names
+from guavaroad.domain.configuration import record
 from guavaroad.ports import platform, upstreams
-from guavaroad.services import configuration
 
 STEP_S = 0.05
 ADDRESS = '127.0.0.1:8080'
@@ -109,8 +109,8 @@
         self.site = self.reactor.tcpServers[0][1]
         self.upstreams = FakeUpstreams()
         self.app.dispatcher.port.inner = self.upstreams
-        self.app.configuration.adopt(
-            configuration.Head(version=1, document=document())
+        self.app.configuration.learn(
+            1, record.Record(version=1, document=document())
         )
         for changed in self.app.directory.on_change:
             changed(platform.InstanceList(entries=(), upstreams=(UPSTREAM,)))
--- a/packages/guavaroad/src/guavaroad/adapters/http_api.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api.py
@@ -26,6 +26,7 @@
 )
 
 _MAX_ID_BLOCK: Final = 10_000
+_MAX_OPERATION_CHARS: Final = 128
 _LOG: Final = logs.logger_of('api')
 
 
@@ -97,9 +98,10 @@
         team = http_api_reading.team_of(visit)
         return self.submissions.ask(team, call, forwarded=forwarded)
 
-    def show_config(self, _: http_api_routes.Visit) -> answers.Answer:
-        """Answer with the configuration in force."""
-        return self.configuration.show()
+    def show_config(self, visit: http_api_routes.Visit) -> answers.Answer:
+        """Answer with the configuration in force, or an operation's state."""
+        operation = http_api_reading.query_of(visit.request, b'operation')
+        return self.configuration.show(operation)
 
     def patch_config(self, visit: http_api_routes.Visit) -> Any:
         """Apply a merge patch to a version."""
@@ -111,7 +113,12 @@
         match decoded:
             case json_input.Malformed():
                 return bad_request(f'the patch: {decoded.reason}')
-        return self.configuration.patch(base, change)
+        operation = http_api_reading.text_header(
+            visit.request, b'Idempotency-Key'
+        )
+        if len(operation) > _MAX_OPERATION_CHARS:
+            return bad_request('Idempotency-Key is too long')
+        return self.configuration.patch(base, change, operation)
 
     def show_state(self, _: http_api_routes.Visit) -> answers.Answer:
         """Answer with the dump of this process."""
--- a/packages/guavaroad/src/guavaroad/adapters/http_api_reading.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_api_reading.py
@@ -95,6 +95,13 @@
     return visit.caller.team if visit.caller else _NO_TEAM
 
 
+def query_of(request: server.Request, name: bytes) -> str:
+    """Return the first value of a query field, empty if there is none."""
+    found: Any = request.args or {}
+    given = found.get(name, [b''])[0]
+    return bytes(given).decode('ascii', errors='replace')
+
+
 def base_version_of(request: server.Request) -> int | None:
     """Return the version that If-Match names, if it names one."""
     text = text_header(request, b'If-Match').strip('"')
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -18,6 +18,7 @@
     logs,
     metered,
 )
+from guavaroad.domain import names
 from guavaroad.services import drain, state
 
 _LOG: Final = logs.logger_of('app')
@@ -37,7 +38,7 @@
         self.bus = composition.peer_bus(self.base)
         self.membership = composition.membership_service(self.base, self.bus)
         self.configuration = composition.configuration_service(
-            self.base, self.platform
+            self.base, self.platform, self.membership
         )
         self.directory = composition.directory_service(self.base, self.platform)
         self.dispatcher = composition_dispatch.dispatcher(
@@ -47,13 +48,19 @@
             self.base, self.platform, self.dispatcher, self.configuration
         )
         self.dump = state.StateDump()
+        self.configuration.peers.in_use = self.jobs_in_use
         self.site = self.client_site()
         front.watch_counts(
             self.base, self.site, self.submissions, self.dispatcher
         )
         self.drain = front.drain_service(self.base, self.submissions, self.site)
         self.drain.ended.addCallback(self.stopped)
+        checker = self.submissions.owned.checker
+        checker.config_refusal = self.configuration.refusal
         self.drain.hooks.on_leaving.append(self.membership.leave)
+        self.drain.hooks.on_closing.extend(
+            (self.membership.stop, self.bus.stop)
+        )
         self.exit_code = 0
         self.membership.shown.load = self.queued_tasks
         self.slots = composition_dispatch.slot_keeper(
@@ -62,6 +69,7 @@
         self.directory.on_change.append(self.slots.list_changed)
         self.drain.hooks.on_leaving.append(self.slots.drain)
         self.directory.on_change.append(self.membership.list_changed)
+        self.directory.on_change.append(self.configuration.list_changed)
         self.describe_parts()
         self.configuration.on_change.append(self.configuration_changed)
 
@@ -69,6 +77,11 @@
         """Return the tasks that wait here."""
         return self.dispatcher.queue.task_count
 
+    def jobs_in_use(self) -> set[names.JobName]:
+        """Return the jobs that have tasks waiting or running here."""
+        queued = self.dispatcher.queue.jobs.values()
+        return {one.job.request.job for one in queued}
+
     def client_site(self) -> http_api_site.ApiSite:
         """Return the site of the client port."""
         pages = http_api.Pages(
@@ -114,6 +127,7 @@
             self.dump, self.base, self.configuration, self.bus
         )
         self.dump.add('membership', self.membership.describe)
+        self.dump.add('patches', self.configuration.describe)
         self.dump.add('records', self.submissions.describe)
         state_dump.add_work(
             self.dump, self.base, self.submissions.book, self.dispatcher
--- a/packages/guavaroad/src/guavaroad/composition.py
+++ b/packages/guavaroad/src/guavaroad/composition.py
@@ -127,11 +127,15 @@
 
 
 def configuration_service(
-    base: Foundation, link: http_platform.PlatformLink
+    base: Foundation,
+    link: http_platform.PlatformLink,
+    members: membership.MembershipService,
 ) -> configuration.ConfigurationService:
     """Return the keeper of the configuration in force."""
     return configuration.ConfigurationService(
         table=http_platform.HttpTable(link=link),
+        directory=http_platform.HttpDirectory(link=link),
+        members=members,
         timer_service=base.timers,
         period_s=base.settings.platform.config_period_s,
     )
--- a/packages/guavaroad/src/guavaroad/domain/codes.py
+++ b/packages/guavaroad/src/guavaroad/domain/codes.py
@@ -48,6 +48,7 @@
     METHOD_NOT_ALLOWED = 2019
     REQUEST_TIMEOUT = 2020
     TOO_MANY_CONNECTIONS = 2021
+    ISOLATED = 2030
 
     TASK_FAILED = 3001
     TASK_LOST = 3002
@@ -190,6 +191,11 @@
         ResultCode.TOO_MANY_CONNECTIONS: _refused(
             503, 'The instance has too many connections.', _RESUBMIT
         ),
+        ResultCode.ISOLATED: _refused(
+            503,
+            'The instance reaches neither the platform nor its zone.',
+            'Submit to another instance.',
+        ),
         ResultCode.TASK_FAILED: _ran(
             502, 'A task ran and failed.', 'See the tasks of the answer.'
         ),
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/configuration/follower.py
@@ -0,0 +1,170 @@
+"""What one instance knows of the configuration, and what it may serve."""
+
+import dataclasses
+import enum
+from typing import Final
+
+from guavaroad.domain import names
+from guavaroad.domain.configuration import document, record, timing
+
+NOTHING_KNOWN: Final = -1
+
+
+class Verdict(enum.Enum):
+    """Whether new work of a job may be admitted."""
+
+    SERVE = 'serve'
+    NO_CONFIGURATION = 'no_configuration'
+    IN_DOUBT = 'in_doubt'
+    BEHIND = 'behind'
+    ISOLATED = 'isolated'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Known:
+    """The newest head row that this instance has seen.
+
+    Attributes:
+        row_version: Version of the row.
+        body: The row itself.
+        in_force: The document in force, checked.
+        digest: Hash of the document in force.
+        proposed: The document of the open proposal, checked.
+    """
+
+    row_version: int
+    body: record.Record
+    in_force: document.Document
+    digest: str
+    proposed: document.Document | None = None
+
+
+class Follower:
+    """Takes head rows from anywhere; an older one never replaces a newer.
+
+    Attributes:
+        known: The newest head row.
+        evidence_s: When the newest row was last known to be current.
+        contact_s: When the platform or a zone mate was last heard.
+        newest_heard: Highest row version that anybody spoke of.
+        behind_since_s: Since when a higher one than the known is spoken of.
+        has_mates: Whether the zone had other instances in the last view.
+    """
+
+    def __init__(self, *, now_s: float) -> None:
+        self.known: Known | None = None
+        self.evidence_s = now_s
+        self.contact_s = now_s
+        self.newest_heard = NOTHING_KNOWN
+        self.behind_since_s = now_s
+        self.has_mates = False
+
+    def row_version(self) -> int:
+        """Return the version of the known row, -1 if none is known."""
+        return self.known.row_version if self.known else NOTHING_KNOWN
+
+    def learn(
+        self, row_version: int, body: record.Record, now_s: float
+    ) -> bool:
+        """Take a head row.
+
+        Args:
+            row_version: Its version.
+            body: Its body.
+            now_s: Present time, seconds.
+
+        Returns:
+            Whether it is newer than what was known.
+        """
+        self.hear_of(row_version, now_s)
+        if row_version < self.row_version():
+            return False
+        if row_version == self.row_version():
+            self.evidence_s = now_s
+            return False
+        checked = document.check_document(body.document)
+        match checked:
+            case document.Invalid():
+                return False
+        self.known = Known(
+            row_version=row_version,
+            body=body,
+            in_force=checked,
+            digest=record.digest_of(body.document),
+            proposed=checked_proposal(body),
+        )
+        self.evidence_s = now_s
+        self.behind_since_s = now_s
+        return True
+
+    def hear_of(self, row_version: int, now_s: float) -> bool:
+        """Take note of a row version that somebody has.
+
+        Args:
+            row_version: The version.
+            now_s: Present time, seconds.
+
+        Returns:
+            Whether it is newer than the known row.
+        """
+        if self.newest_heard <= self.row_version():
+            self.behind_since_s = now_s
+        self.newest_heard = max(self.newest_heard, row_version)
+        return row_version > self.row_version()
+
+    def verdict(self, job: names.JobName, now_s: float) -> Verdict:
+        """Return whether new work of a job may be admitted now."""
+        known = self.known
+        if known is None:
+            return Verdict.NO_CONFIGURATION
+        if self.isolated(now_s):
+            return Verdict.ISOLATED
+        if self.behind(now_s):
+            return Verdict.BEHIND
+        if self.in_doubt(now_s) and not treated_alike(known, job):
+            return Verdict.IN_DOUBT
+        return Verdict.SERVE
+
+    def in_doubt(self, now_s: float) -> bool:
+        """Return whether an open proposal may have been decided unheard."""
+        if self.known is None or self.known.body.proposal is None:
+            return False
+        return now_s - self.evidence_s > timing.DOUBT_S
+
+    def behind(self, now_s: float) -> bool:
+        """Return whether a newer row has been spoken of for too long."""
+        if self.newest_heard <= self.row_version():
+            return False
+        return now_s - self.behind_since_s > timing.BEHIND_S
+
+    def isolated(self, now_s: float) -> bool:
+        """Return whether neither platform nor zone mates are heard."""
+        silence_s = now_s - self.contact_s
+        return self.has_mates and silence_s > timing.LEASE_S
+
+
+def checked_proposal(body: record.Record) -> document.Document | None:
+    """Return the document of the open proposal, if it is valid."""
+    if body.proposal is None:
+        return None
+    checked = document.check_document(body.proposed_document())
+    match checked:
+        case document.Document():
+            return checked
+    return None
+
+
+def treated_alike(known: Known, job: names.JobName) -> bool:
+    """Return whether both versions treat a job alike.
+
+    Args:
+        known: Known row with an open proposal.
+        job: Name of the job.
+
+    Returns:
+        Whether its entry, its teams and the classes are the same in both.
+    """
+    if known.proposed is None:
+        return False
+    before = known.in_force.facts_of_job(job)
+    return bool(before == known.proposed.facts_of_job(job))
--- a/packages/guavaroad/src/guavaroad/domain/membership/view.py
+++ b/packages/guavaroad/src/guavaroad/domain/membership/view.py
@@ -38,6 +38,7 @@
         self.zones: dict[names.AvailabilityZone, zones.Zone] = {}
         self.leaving = False
         self.last_tick_s: float | None = None
+        self.watching_since_s: float | None = None
         self.had_mate = False
 
     def zone_named(self, name: names.AvailabilityZone) -> zones.Zone:
@@ -136,6 +137,12 @@
             return False
         return self.had_mate
 
+    def watching_s(self, now_s: float) -> float:
+        """Return for how long this instance has listened without a gap."""
+        if self.watching_since_s is None:
+            return 0
+        return now_s - self.watching_since_s
+
     def excuse_own_gap(self, now_s: float) -> float:
         """Notice that this process stood still, and judge nobody by it.
 
@@ -148,8 +155,11 @@
         before_s = now_s if self.last_tick_s is None else self.last_tick_s
         self.last_tick_s = now_s
         gap_s = now_s - before_s
+        if self.watching_since_s is None:
+            self.watching_since_s = now_s
         if gap_s < timing.OWN_GAP_S:
             return 0
+        self.watching_since_s = now_s
         self.mates.excuse(gap_s)
         for zone in self.zones.values():
             zone.excuse(gap_s)
--- a/packages/guavaroad/src/guavaroad/services/configuration.py
+++ b/packages/guavaroad/src/guavaroad/services/configuration.py
@@ -1,30 +1,45 @@
-"""Keeps the configuration in force, and drives patches into the head row."""
+"""Keeps the configuration in force, and says what may be admitted."""
 
 import dataclasses
 import secrets
+import types
 from collections.abc import Callable
 from typing import Any, Final
 
-import msgspec
+import loguru
 from twisted.internet import defer
 
 from guavaroad.domain import codes, names
-from guavaroad.domain.configuration import document, merge_patch
+from guavaroad.domain.configuration import (
+    change,
+    document,
+    follower,
+    record,
+    timing,
+)
+from guavaroad.domain.membership import messages as membership_messages
 from guavaroad.ports import platform, timers
 from guavaroad.services import (
     answers,
+    config_peers,
+    head_row,
+    membership,
+    patching,
+    voters,
 )
 
-HEAD_KEY: Final = 'config/head'
+_LOG: Final = loguru.logger.bind(part='configuration')
 _OPERATION_BYTES: Final = 8
+_EXPIRY_SPREAD: Final = 10
 
-
-class Head(msgspec.Struct, frozen=True, kw_only=True):
-    """Body of the head row."""
-
-    version: int
-    document: dict[str, Any]
-    operation_id: str = ''
+_REFUSALS: Final = types.MappingProxyType(
+    {
+        follower.Verdict.NO_CONFIGURATION: codes.ResultCode.NO_CONFIGURATION,
+        follower.Verdict.IN_DOUBT: codes.ResultCode.CONFIGURATION_IN_DOUBT,
+        follower.Verdict.BEHIND: codes.ResultCode.CONFIGURATION_IN_DOUBT,
+        follower.Verdict.ISOLATED: codes.ResultCode.ISOLATED,
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -42,151 +57,201 @@
     document: document.Document
 
 
-EMPTY: Final = InForce(
-    version=names.Version(0), raw={}, document=document.Document()
-)
-
-
 class ConfigurationService:
-    """Reads the head row and writes patches to it by compare-and-set."""
+    """Follows the head row on the platform and through peers.
+
+    Attributes:
+        on_change: Called after a change of the version in force.
+    """
 
     def __init__(
         self,
         *,
         table: platform.TablePort,
+        directory: platform.DirectoryPort,
+        members: membership.MembershipService,
         timer_service: timers.TimerService,
         period_s: float,
     ) -> None:
-        self.table = table
+        self.timers = timer_service
+        self.members = members
+        self.epoch = members.view.own.incarnation.epoch
+        self.head = head_row.HeadTable(table=table, timer_service=timer_service)
+        self.follower = follower.Follower(now_s=timer_service.now())
         self.in_force: InForce | None = None
         self.on_change: list[Callable[[], object]] = []
+        self.peers = config_peers.ConfigPeers(
+            bus=members.bus,
+            known=members.view,
+            follows=self.follower,
+            timer_service=timer_service,
+            learn=self.learn,
+        )
+        self.voters = voters.Electorate(
+            known=members.view,
+            directory=directory,
+            timer_service=timer_service,
+        )
+        self.proposal_since_s: float = 0
+        members.shown.config = self.mark
+        members.inbox.on_mark.append(self.peers.on_mark)
         timer_service.subscribe(period_s, self.refresh)
 
     def current(self) -> document.Document | None:
         """Return the document in force, if one is known."""
         return self.in_force.document if self.in_force else None
 
+    def refusal(self, job: names.JobName) -> codes.ResultCode | None:
+        """Return why new work of a job may not be admitted now, if so."""
+        now_s = self.timers.now()
+        return _REFUSALS.get(self.follower.verdict(job, now_s))
+
+    def list_changed(self, listed: platform.InstanceList) -> None:
+        """Take note that the platform lists no other in this zone."""
+        own = self.members.view.own.incarnation
+        self.follower.has_mates = any(
+            entry.availability_zone == own.availability_zone
+            and entry.address != own.address
+            for entry in listed.entries
+        )
+
+    def mark(self) -> membership_messages.ConfigMark:
+        """Return what heartbeats say of the configuration."""
+        known = self.follower.known
+        if known is None:
+            return membership_messages.ConfigMark()
+        return membership_messages.ConfigMark(
+            row_version=known.row_version,
+            version=known.body.version,
+            digest=known.digest,
+        )
+
     def refresh(self) -> 'defer.Deferred[None]':
         """Read the head row."""
         return defer.ensureDeferred(self.read_head())
 
     async def read_head(self) -> None:
-        """Read the head row and put a newer version in force."""
-        row = await self.table.read(HEAD_KEY)
+        """Read the head row, and close a proposal that nobody drives."""
+        asked_s = self.timers.now()
+        row = await self.head.read()
         match row:
-            case platform.Row():
-                self.adopt(head_of(row))
+            case head_row.HeadRow():
+                contact_s = max(asked_s, self.follower.contact_s)
+                self.follower.contact_s = contact_s
+                self.learn(row.row_version, row.body)
+                await self.abort_expired(row)
 
-    def adopt(self, head: Head) -> None:
-        """Put a head in force unless it is older than what is known."""
-        known = self.in_force
-        if known is not None and head.version <= known.version:
+    async def abort_expired(self, row: head_row.HeadRow) -> None:
+        """Abort an open proposal some time after its expiry."""
+        proposal = row.body.proposal
+        if proposal is None or row.row_version != self.follower.row_version():
             return
-        checked = document.check_document(head.document)
-        match checked:
-            case document.Document():
-                self.in_force = InForce(
-                    version=names.Version(head.version),
-                    raw=head.document,
-                    document=checked,
-                )
-                for changed in self.on_change:
-                    changed()
-
-    def show(self) -> answers.Answer:
-        """Answer with the document in force."""
-        known = self.in_force
-        if known is None:
-            return answers.plain(codes.ResultCode.NO_CONFIGURATION)
-        return answers.plain(
-            codes.ResultCode.CONFIGURATION,
-            extra={'version': known.version, 'document': known.raw},
+        spread_s = sum(self.epoch.encode()) % _EXPIRY_SPREAD / _EXPIRY_SPREAD
+        open_s = self.timers.now() - self.proposal_since_s
+        if open_s < timing.EXPIRY_S + spread_s:
+            return
+        _LOG.warning('proposal {} expired', proposal.proposal_id)
+        await self.head.write(
+            f'{proposal.proposal_id}/expired/{self.epoch}',
+            row.row_version,
+            record.abort(row.body),
+            budget_s=0,
+        )
+
+    def learn(self, row_version: int, body: record.Record) -> None:
+        """Take a head row from anywhere."""
+        now_s = self.timers.now()
+        if not self.follower.learn(row_version, body, now_s):
+            return
+        self.proposal_since_s = now_s
+        if self.in_force and self.in_force.version == body.version:
+            return
+        checked = self.follower.known
+        if checked is None:
+            return
+        self.in_force = InForce(
+            version=names.Version(body.version),
+            raw=body.document,
+            document=checked.in_force,
         )
+        _LOG.info('version {} is in force', body.version)
+        for changed in self.on_change:
+            changed()
 
     def patch(
-        self, base: int, change: bytes
+        self, base: int, body: bytes, operation_id: str = ''
     ) -> 'defer.Deferred[answers.Answer]':
         """Apply a merge patch to the base version.
 
         Args:
             base: Version the operator saw.
-            change: Encoded merge patch.
+            body: Encoded merge patch.
+            operation_id: Id that makes a repeat safe; empty for a new one.
 
         Returns:
             Fires with the answer.
         """
-        return defer.ensureDeferred(self.drive(base, change))
-
-    async def drive(self, base: int, change: bytes) -> answers.Answer:
-        """Check, write and put in force."""
-        row = await self.table.read(HEAD_KEY)
-        match row:
-            case platform.Away():
-                return answers.plain(
-                    codes.ResultCode.PLATFORM_AWAY, detail=row.detail
-                )
-        head = head_of(row)
-        if head.version != base:
-            return stale(head.version)
-        merged = merge_patch.apply_patch(
-            head.document, msgspec.json.decode(change)
+        request = change.PatchRequest(
+            operation_id=operation_id or secrets.token_hex(_OPERATION_BYTES),
+            base=base,
+            body=body,
         )
-        checked = document.check_document(merged)
-        match checked:
-            case document.Invalid():
-                return answers.plain(
-                    codes.ResultCode.PATCH_INVALID,
-                    detail='; '.join(checked.problems),
-                )
-        proposed = Head(
-            version=base + 1,
-            document=merged,
-            operation_id=secrets.token_hex(_OPERATION_BYTES),
+        parts = patching.Parts(
+            head=self.head,
+            bus=self.members.bus,
+            peers=self.peers,
+            voters=self.voters,
+            timers=self.timers,
+            learn=self.learn,
         )
-        return await self.write(row, proposed)
-
-    async def write(self, row: platform.Row, proposed: Head) -> answers.Answer:
-        """Write the new head by compare-and-set."""
-        outcome = await self.table.transact(
-            proposed.operation_id,
-            (
-                platform.RowWrite(
-                    key=HEAD_KEY,
-                    expected_version=row.version,
-                    body=msgspec.json.encode(proposed),
-                ),
-            ),
+        driver = patching.Driver(parts=parts, request=request)
+        return defer.ensureDeferred(driver.run())
+
+    def show(self, operation_id: str = '') -> answers.Answer:
+        """Answer with the document in force, or what a patch came to."""
+        known = self.follower.known
+        if known is None:
+            return answers.plain(codes.ResultCode.NO_CONFIGURATION)
+        if operation_id:
+            return shown_operation(known.body, operation_id)
+        proposal = known.body.proposal
+        return answers.plain(
+            codes.ResultCode.CONFIGURATION,
+            extra={
+                'version': known.body.version,
+                'digest': known.digest,
+                'document': known.body.document,
+                'proposal': proposal,
+                'in_doubt': self.follower.in_doubt(self.timers.now()),
+            },
         )
-        match outcome:
-            case platform.Committed():
-                self.adopt(proposed)
-                return answers.plain(
-                    codes.ResultCode.PATCH_ACCEPTED,
-                    extra={'version': proposed.version},
-                )
-            case platform.Conflict():
-                return stale(head_of(outcome.rows[0]).version)
-            case platform.Away():
-                return answers.plain(
-                    codes.ResultCode.PLATFORM_AWAY, detail=outcome.detail
-                )
-            case platform.Unknown():
-                return answers.plain(
-                    codes.ResultCode.PATCH_UNKNOWN, detail=outcome.detail
-                )
-
-
-def head_of(row: platform.Row) -> Head:
-    """Read the head from its row; no row is version 0."""
-    if not row.version:
-        return Head(version=0, document={})
-    return msgspec.json.decode(row.body, type=Head)
-
-
-def stale(live: int) -> answers.Answer:
-    """Refuse a patch on an older version."""
+
+    def describe(self) -> dict[str, Any]:
+        """Return the configuration's part of the state dump."""
+        now_s = self.timers.now()
+        known = self.follower.known
+        return {
+            'version': known.body.version if known else None,
+            'row_version': self.follower.row_version(),
+            'open_proposal': known.body.proposal if known else None,
+            'in_doubt': self.follower.in_doubt(now_s),
+            'behind': self.follower.behind(now_s),
+            'isolated': self.follower.isolated(now_s),
+        }
+
+
+def shown_operation(body: record.Record, operation_id: str) -> answers.Answer:
+    """Answer what became of an operation, as far as is known here."""
+    accepted = body.accepted(operation_id)
+    state = 'not accepted so far'
+    extra: dict[str, Any] = {'version': body.version}
+    if accepted is not None:
+        state = 'accepted'
+        extra = {'version': accepted.version}
+    elif body.proposal and body.proposal.operation_id == operation_id:
+        state = 'open'
     return answers.plain(
-        codes.ResultCode.PATCH_STALE,
-        detail=f'the live version is {live}',
-        extra={'version': live},
+        codes.ResultCode.CONFIGURATION,
+        detail=f'operation {operation_id} is {state}',
+        extra=extra | {'operation': operation_id, 'state': state},
     )
--- a/packages/guavaroad/src/guavaroad/services/membership_inbox.py
+++ b/packages/guavaroad/src/guavaroad/services/membership_inbox.py
@@ -2,9 +2,14 @@
 
 from collections.abc import Callable
 
+from guavaroad.domain import names
 from guavaroad.domain.membership import listener, messages, speaker
 from guavaroad.ports import peers
 
+OnMark = Callable[
+    [names.PeerAddress, names.AvailabilityZone, messages.ConfigMark], None
+]
+
 
 class Inbox:
     """Takes every message of membership."""
@@ -21,6 +26,7 @@
         self.now = now
         self.send = send
         self.look = look
+        self.on_mark: list[OnMark] = []
 
     def subscribe(self, bus: peers.PeerBus) -> None:
         """Take every message of membership from the bus."""
@@ -37,19 +43,29 @@
         """Take a heartbeat."""
         now_s = self.now()
         self.send(self.listener.heard(contact(peer), heartbeat, now_s))
+        self.marked(peer, heartbeat.config)
         self.look()
 
     def on_zone_news(self, peer: peers.Peer, news: messages.ZoneNews) -> None:
         """Take a report of a zone."""
         now_s = self.now()
         self.send(self.listener.zone_news(contact(peer), news, now_s))
+        self.marked(peer, news.config)
         self.look()
 
+    def marked(self, peer: peers.Peer, mark: messages.ConfigMark) -> None:
+        """Tell what the sender knows of the configuration."""
+        for followed in self.on_mark:
+            followed(
+                peer.peer_address, peer.incarnation.availability_zone, mark
+            )
+
     def on_cards_wanted(
         self, peer: peers.Peer, wanted: messages.CardsWanted
     ) -> None:
         """Answer with the cards of a revision."""
-        self.send(self.listener.cards_wanted(contact(peer), wanted))
+        now_s = self.now()
+        self.send(self.listener.cards_wanted(contact(peer), wanted, now_s))
 
     def on_cards(self, _: peers.Peer, told: messages.CardsSent) -> None:
         """Take the cards of a revision."""
--- a/packages/guavaroad/src/guavaroad/services/requests.py
+++ b/packages/guavaroad/src/guavaroad/services/requests.py
@@ -58,6 +58,13 @@
         return xxhash.xxh3_128_hexdigest(self.job.encode() + self.body)
 
 
+ConfigRefusal = Callable[[names.JobName], codes.ResultCode | None]
+
+
+def no_refusal(_: names.JobName) -> None:
+    """Refuse no job for an uncertain configuration."""
+
+
 class RequestChecker:
     """Checks submissions against the configuration and the limits."""
 
@@ -70,6 +77,7 @@
     ) -> None:
         self.dispatcher = dispatcher
         self.configuration = configuration
+        self.config_refusal: ConfigRefusal = no_refusal
         self.default_deadline_s = default_deadline_s
 
     def check(
@@ -85,8 +93,11 @@
             The checked job, or why it is refused.
         """
         config = self.configuration()
-        if config is None:
-            return jobs.JobEnded(code=codes.ResultCode.NO_CONFIGURATION)
+        uncertain = self.config_refusal(request.job)
+        if config is None or uncertain is not None:
+            return jobs.JobEnded(
+                code=uncertain or codes.ResultCode.NO_CONFIGURATION
+            )
         job = config.job_named(request.job)
         if job is None:
             return jobs.JobEnded(code=codes.ResultCode.UNKNOWN_JOB)
--- a/standins/src/guavaroad_standins/memory_bus.py
+++ b/standins/src/guavaroad_standins/memory_bus.py
@@ -31,6 +31,35 @@
     message: Any
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class OnMessage:
+    """Strikes once, at the last of some messages of one kind.
+
+    Attributes:
+        kind: Type of the messages.
+        ends: Addresses of senders or receivers that count.
+        count: Messages to wait for.
+        action: Called at the strike.
+        seen: Messages so far.
+    """
+
+    kind: type[msgspec.Struct]
+    ends: set[str]
+    count: int
+    action: Callable[[], object]
+    seen: int = 0
+
+    def watch(self, carried: 'Carried') -> bool:
+        """Count a message; it is never lost by this."""
+        ends = {carried.source, carried.target}
+        message = carried.message.message
+        if isinstance(message, self.kind) and ends & self.ends:
+            self.seen += 1
+            if self.seen == self.count:
+                self.action()
+        return False
+
+
 class Network:
     """Carries the messages between the buses of one scenario.
 
