Forward a client's token to known instances alone

Cause: the address in a submission id is the client's word, and its checksum no secret, so a made-up id sent the client's bearer token to any address. A probe answered by something else than an instance raised a decode error, and one answered with a refusal that names no epoch counted the owner as gone. Ruled out: a keyed checksum, which needs a secret shared by the fleet. An address is known if the platform's list or the peers' view has it.

The capacity bench also reads the bytes and messages of the peer bus.

--- a/bench/capacity/whole_fleet.py
+++ b/bench/capacity/whole_fleet.py
@@ -8,7 +8,14 @@
 
 from guavaroad_standins import calls, fleet
 
-INSTANCES: Final = (3, 6, 12)
+INSTANCES: Final = (3, 9, 18)
+IDLE_SERIES: Final = (
+    ('idle cpu of one instance', 'cores'),
+    ('idle memory of one instance', 'MiB'),
+    ('platform calls of all', 'calls/s'),
+    ('control bytes sent by one', 'bytes/s'),
+    ('control messages sent by one', 'messages/s'),
+)
 _PATCHES: Final = 30
 _IDLE_S: Final = 8
 _SETTLE_S: Final = 2
@@ -18,33 +25,39 @@
 
 def peers() -> list[slopes.Series]:
     """Measure idle cost of an instance over the number of instances."""
-    cores, memory, reads = [], [], []
-    for count in INSTANCES:
-        plan = fleet.FleetPlan(
-            zones=_ZONES,
-            instances_per_zone=count // 3,
-            upstreams_per_zone=1,
-        )
-        with systems.running(plan) as system:
-            time.sleep(_SETTLE_S)
-            pid = systems.pid_of(system.instances[0])
-            asked = _platform_calls(system)
-            cores.append(
-                slopes.point(count, usage.core_share_over(pid, _IDLE_S))
-            )
-            asked = _platform_calls(system) - asked
-            reads.append(slopes.point(count, asked / _IDLE_S))
-            read = usage.read_usage(pid)
-            memory.append(slopes.point(count, read.rss_bytes / usage.MIB))
+    readings = [_idle_reading(count) for count in INSTANCES]
     return [
-        slopes.series('idle cpu of one instance', 'instances', 'cores', cores),
-        slopes.series(
-            'idle memory of one instance', 'instances', 'MiB', memory
-        ),
-        slopes.series('platform calls', 'instances', 'calls/s', reads),
+        slopes.series(name, 'instances', unit, list(points))
+        for (name, unit), points in zip(
+            IDLE_SERIES, zip(*readings, strict=True), strict=True
+        )
     ]
 
 
+def _idle_reading(count: int) -> tuple[slopes.Point, ...]:
+    plan = fleet.FleetPlan(
+        zones=_ZONES,
+        instances_per_zone=count // len(_ZONES),
+        upstreams_per_zone=1,
+    )
+    with systems.running(plan) as system:
+        time.sleep(_SETTLE_S)
+        pid = systems.pid_of(system.instances[0])
+        asked = _platform_calls(system)
+        sent = _bus_counters(system)
+        share = usage.core_share_over(pid, _IDLE_S)
+        asked = _platform_calls(system) - asked
+        now = _bus_counters(system)
+        measured = (
+            share,
+            usage.read_usage(pid).rss_bytes / usage.MIB,
+            asked / _IDLE_S,
+            (now['bytes_sent'] - sent['bytes_sent']) / _IDLE_S,
+            (now['messages_sent'] - sent['messages_sent']) / _IDLE_S,
+        )
+    return tuple(slopes.point(count, one) for one in measured)
+
+
 def patches() -> list[slopes.Series]:
     """Measure how long patches take to be in force on every instance."""
     medians, cores = [], []
@@ -76,6 +89,17 @@
     return int(counters['reads'] + counters['list_reads'])
 
 
+def _bus_counters(system: fleet.Fleet) -> dict[str, int]:
+    reply = calls.call(
+        'GET',
+        system.instances[0].address,
+        '/v1/state',
+        headers=systems.bearer(fleet.OPERATOR_TOKEN),
+    )
+    counters: dict[str, int] = reply.decoded()['peers']['counters']
+    return counters
+
+
 def _time_patch(system: fleet.Fleet, base: int) -> float:
     began = time.monotonic()
     change = {'teams': {f'team-{base}': {}}}
--- a/packages/guavaroad/src/guavaroad/app.py
+++ b/packages/guavaroad/src/guavaroad/app.py
@@ -1,5 +1,6 @@
 """One entry instance: its parts, wired together."""
 
+import itertools
 from typing import Any, Final
 
 from guavaroad import (
@@ -45,7 +46,11 @@
             self.base, self.configuration
         )
         self.submissions = composition_submissions.submission_service(
-            self.base, self.platform, self.dispatcher, self.configuration
+            self.base,
+            self.platform,
+            self.dispatcher,
+            self.configuration,
+            self.is_known,
         )
         self.dump = state.StateDump()
         self.configuration.peers.in_use = self.jobs_in_use
@@ -73,6 +78,12 @@
         self.describe_parts()
         self.configuration.on_change.append(self.configuration_changed)
 
+    def is_known(self, address: names.ClientAddress) -> bool:
+        """Return whether an instance is listed or seen at an address."""
+        listed = (entry.address for entry in self.directory.last.entries)
+        seen = (peer.incarnation.address for peer in self.membership.peers())
+        return address in itertools.chain(listed, seen)
+
     def queued_tasks(self) -> int:
         """Return the tasks that wait here."""
         return self.dispatcher.queue.task_count
--- a/packages/guavaroad/src/guavaroad/composition_submissions.py
+++ b/packages/guavaroad/src/guavaroad/composition_submissions.py
@@ -1,9 +1,11 @@
 """Builds the parts that own, record and look up submissions."""
 
 import itertools
+from collections.abc import Callable
 
 from guavaroad import composition
 from guavaroad.adapters import http_platform
+from guavaroad.domain import names
 from guavaroad.domain.submissions import records, writer
 from guavaroad.services import (
     configuration,
@@ -61,6 +63,7 @@
     link: http_platform.PlatformLink,
     dispatching: dispatch.Dispatcher,
     configured: configuration.ConfigurationService,
+    knows: Callable[[names.ClientAddress], bool],
 ) -> submissions.SubmissionService:
     """Return the entry of every request about submissions."""
     limits = base.settings.limits
@@ -69,6 +72,7 @@
         client=base.client,
         timer_service=base.timers,
         timeout_s=limits.attempt_timeout_s,
+        knows=knows,
     )
     return submissions.SubmissionService(
         minter=minting.Minter(
--- a/packages/guavaroad/src/guavaroad/services/forwarding.py
+++ b/packages/guavaroad/src/guavaroad/services/forwarding.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Callable
 from typing import Any, Final
 from urllib import parse as urls
 
@@ -9,7 +10,7 @@
 from twisted.internet import defer
 
 from guavaroad.adapters import http_client
-from guavaroad.domain import identity, names
+from guavaroad.domain import identity, json_input, names
 from guavaroad.ports import timers
 from guavaroad.services import (
     answers,
@@ -17,6 +18,7 @@
 
 FORWARDED_HEADER: Final = 'Guavaroad-Forwarded'
 PROBE_PERIOD_S: Final = 0.7
+_STRANGER: Final = 'no instance is known at the address in the id'
 PROBE_TIMEOUT_S: Final = 1.5
 PROBE_SHARED_S: Final = 0.6
 FAILED_PROBES: Final = 3
@@ -110,13 +112,27 @@
     """Read the answer to a probe; none if nothing answered."""
     match exchange:
         case http_client.Reply():
-            body = msgspec.json.decode(exchange.body, type=AliveBody)
-            return body.epoch == owner.epoch
+            body = json_input.decode(exchange.body, AliveBody)
+            return is_epoch(body, owner.epoch)
+    return None
+
+
+def is_epoch(
+    body: AliveBody | json_input.Malformed, epoch: names.Epoch
+) -> bool | None:
+    """Compare the epoch of an answer; none if it names no epoch."""
+    match body:
+        case AliveBody(epoch=shown) if shown:
+            return shown == epoch
     return None
 
 
 class Forwarder:
-    """Relays requests and answers between instances."""
+    """Relays requests and answers between instances.
+
+    An address in an id is the client's word; the client's token goes only to
+    addresses of known instances.
+    """
 
     def __init__(
         self,
@@ -124,8 +140,10 @@
         client: http_client.HttpClient,
         timer_service: timers.TimerService,
         timeout_s: float,
+        knows: Callable[[names.ClientAddress], bool],
     ) -> None:
         self.client = client
+        self.knows = knows
         self.timers = timer_service
         self.timeout_s = timeout_s
         self.probes = Probes()
@@ -137,6 +155,8 @@
 
         The wait ends early when the owner stops answering probes.
         """
+        if not self.knows(owner.address):
+            return defer.succeed(Unreached(sent=False, detail=_STRANGER))
         exchange = defer.ensureDeferred(
             self.client.exchange(self.call_of(owner, request))
         )
@@ -174,6 +194,8 @@
         Returns:
             Whether it does; none if nothing answered.
         """
+        if not self.knows(owner.address):
+            return None
         kept = self.probes.recent(owner, self.timers.now())
         if kept is not None:
             return kept.alive
