Say truly in the detail and the code that tasks ran

Cause: a job that ended by cancel or deadline while tasks ran kept the detail of the refusal, 'before any start', under a code that says otherwise; an ending as any other refusal kept its 'not run' code.

--- a/packages/guavaroad/src/guavaroad/domain/submissions/submission.py
+++ b/packages/guavaroad/src/guavaroad/domain/submissions/submission.py
@@ -137,9 +137,13 @@
             return jobs.JobCompleted(
                 answers=tuple(slot.answer for slot in self.slots)
             )
+        code = self.ending_code()
+        changed = code is not self.ending
         return jobs.JobEnded(
-            code=self.ending_code(),
-            detail=self.ending_detail,
+            code=code,
+            detail=codes.facts_of(code).meaning
+            if changed
+            else self.ending_detail,
             tasks=self.reports(),
         )
 
@@ -166,4 +170,6 @@
                 return codes.ResultCode.DEADLINE_DURING_RUN
             case (codes.ResultCode.CANCELLED, True):
                 return codes.ResultCode.CANCELLED_DURING_RUN
+            case (_, True) if codes.facts_of(ended).ran is codes.Ran.NO:
+                return codes.ResultCode.TASK_LOST
         return ended
