Name membership messages and peers by the field's terms

Cards are member records, a vouch is a probe reply, mates are zone peers and a farewell is a leave notice.

--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -49,7 +49,7 @@
       | a pause of 500 ms                       |
       | a pause of 500 ms with a lost heartbeat |
 
-  Scenario: An instance unheard by one zone mate is vouched for by the other
+  Scenario: An instance unheard by one zone peer is confirmed alive by the other
     Given a mesh of 1 zones with 3 instances each
     And 5 s pass
     When messages between "zone-0/0" and "zone-0/1" are cut
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -136,7 +136,7 @@
 
 def is_list(carried):
     message = carried.message.message
-    return isinstance(message, messages.ZoneNews) and message.report.cards
+    return isinstance(message, messages.ZoneUpdate) and message.report.records
 
 
 @behave.then('no list of a zone is sent in the next {seconds:g} s')
--- a/packages/guavaroad/src/guavaroad/domain/configuration/drive.py
+++ b/packages/guavaroad/src/guavaroad/domain/configuration/drive.py
@@ -77,7 +77,7 @@
     def is_excluded(self, voter: Voter) -> bool:
         """Return whether a voter can't be admitting work.
 
-        Its zone mates answer and have not heard it for longer than its lease,
+        Its zone peers answer and have not heard it for longer than its lease,
         or the platform's list has nobody left in its zone.
         """
         if self.zone_answered(voter.zone):
@@ -90,7 +90,7 @@
         return any(vote.zone == zone for vote in self.votes.values())
 
     def silence_ms(self, voter: Voter) -> int:
-        """Return the shortest silence that its zone mates tell of."""
+        """Return the shortest silence that its zone peers tell of."""
         return min(
             vote.silences_ms.get(voter.peer_address, vote.watching_ms)
             for vote in self.votes.values()
@@ -113,7 +113,7 @@
         return Decision.WAIT
 
     def relays(self) -> dict[names.PeerAddress, list[names.PeerAddress]]:
-        """Return which voters should ask which missing zone mates."""
+        """Return which voters should ask which missing zone peers."""
         found: dict[names.PeerAddress, list[names.PeerAddress]] = {}
         for voter in self.missing():
             for address, vote in self.votes.items():
--- a/packages/guavaroad/src/guavaroad/domain/configuration/follower.py
+++ b/packages/guavaroad/src/guavaroad/domain/configuration/follower.py
@@ -45,10 +45,10 @@
     Attributes:
         known: The newest head row.
         evidence_s: When the newest row was last known to be current.
-        contact_s: When the platform or a zone mate was last heard.
+        contact_s: When the platform or a zone peer was last heard.
         newest_heard: Highest row version that anybody spoke of.
         behind_since_s: Since when a higher one than the known is spoken of.
-        has_mates: Whether the zone had other instances in the last view.
+        has_zone_peers: Whether the zone had other instances in the last view.
     """
 
     def __init__(self, *, now_s: float) -> None:
@@ -57,7 +57,7 @@
         self.contact_s = now_s
         self.newest_heard = NOTHING_KNOWN
         self.behind_since_s = now_s
-        self.has_mates = False
+        self.has_zone_peers = False
 
     def row_version(self) -> int:
         """Return the version of the known row, -1 if none is known."""
@@ -138,9 +138,9 @@
         return now_s - self.behind_since_s > timing.BEHIND_S
 
     def isolated(self, now_s: float) -> bool:
-        """Return whether neither platform nor zone mates are heard."""
+        """Return whether neither platform nor zone peers are heard."""
         silence_s = now_s - self.contact_s
-        return self.has_mates and silence_s > timing.LEASE_S
+        return self.has_zone_peers and silence_s > timing.LEASE_S
 
 
 def checked_proposal(body: record.Record) -> document.Document | None:
--- a/packages/guavaroad/src/guavaroad/domain/configuration/messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/configuration/messages.py
@@ -37,7 +37,7 @@
         origin: Peer address of the driver.
         objection: Why the patch may not be committed, empty if it may.
         watching_ms: Milliseconds for which it has listened to its zone.
-        silences_ms: Milliseconds since each known zone mate was heard.
+        silences_ms: Milliseconds since each known zone peer was heard.
     """
 
     row_version: int
--- a/packages/guavaroad/src/guavaroad/domain/membership/links.py
+++ b/packages/guavaroad/src/guavaroad/domain/membership/links.py
@@ -33,29 +33,29 @@
 def link_target(
     own: names.Epoch,
     pair: tuple[names.AvailabilityZone, names.AvailabilityZone],
-    own_cards: tuple[messages.Card, ...],
-    other_cards: tuple[messages.Card, ...],
-) -> messages.Card | None:
+    own_records: tuple[messages.MemberRecord, ...],
+    other_records: tuple[messages.MemberRecord, ...],
+) -> messages.MemberRecord | None:
     """Return whom this instance reports its zone to.
 
     Args:
         own: This instance.
         pair: Its zone and the other zone.
-        own_cards: Live instances of its zone, this one too.
-        other_cards: Live instances of the other zone.
+        own_records: Live instances of its zone, this one too.
+        other_records: Live instances of the other zone.
 
     Returns:
         Its target in the other zone; none if it keeps no link there.
     """
     key = f'{pair[0]}>{pair[1]}'
-    keepers = ranked(key, (card.epoch for card in own_cards))
-    if own not in keepers[:LINKS_PER_ZONE_PAIR] or not other_cards:
+    keepers = ranked(key, (record.epoch for record in own_records))
+    if own not in keepers[:LINKS_PER_ZONE_PAIR] or not other_records:
         return None
-    by_epoch = {card.epoch: card for card in other_cards}
+    by_epoch = {record.epoch: record for record in other_records}
     targets = ranked(key, by_epoch)
     return by_epoch[targets[keepers.index(own) % len(targets)]]
 
 
-def revision_of(cards: tuple[messages.Card, ...]) -> int:
-    """Return the hash of sorted cards."""
-    return xxhash.xxh64_intdigest(msgspec.msgpack.encode(cards)) >> 1
+def revision_of(records: tuple[messages.MemberRecord, ...]) -> int:
+    """Return the hash of sorted records."""
+    return xxhash.xxh64_intdigest(msgspec.msgpack.encode(records)) >> 1
--- a/packages/guavaroad/src/guavaroad/domain/membership/listener.py
+++ b/packages/guavaroad/src/guavaroad/domain/membership/listener.py
@@ -5,7 +5,13 @@
 import msgspec
 
 from guavaroad.domain import identity, names
-from guavaroad.domain.membership import links, mates, messages, speaker, view
+from guavaroad.domain.membership import (
+    links,
+    messages,
+    speaker,
+    view,
+    zone_peers,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -31,8 +37,8 @@
             return []
         sent = self.wants(sender.peer_address, heartbeat.reports, now_s)
         if sender.incarnation.availability_zone == self.view.zone:
-            self.view.mates.hear(
-                mates.Mate(
+            self.view.zone_peers.hear(
+                zone_peers.ZonePeer(
                     incarnation=sender.incarnation,
                     peer_address=sender.peer_address,
                     heard_s=now_s,
@@ -49,7 +55,7 @@
         self, sender: Contact, heartbeat: messages.Heartbeat, now_s: float
     ) -> None:
         """Take a greeting from another zone as its report on itself."""
-        card = messages.Card(
+        record = messages.MemberRecord(
             address=sender.incarnation.address,
             epoch=sender.incarnation.epoch,
             peer_address=sender.peer_address,
@@ -60,9 +66,9 @@
             messages.ZoneReport(
                 zone=zone.name,
                 # Kept apart, so that it hides no fuller report.
-                reporter=names.Epoch(f'{card.epoch}:greeting'),
-                revision=links.revision_of((card,)),
-                cards=(card,),
+                reporter=names.Epoch(f'{record.epoch}:greeting'),
+                revision=links.revision_of((record,)),
+                records=(record,),
             ),
             now_s,
         )
@@ -70,10 +76,12 @@
     def answer_hello(
         self, sender: Contact, now_s: float
     ) -> list[speaker.Outgoing]:
-        """Answer a greeting with a heartbeat and the cards of this zone."""
+        """Answer a greeting with a heartbeat and the records of this zone."""
         reports = [self.view.report(now_s), *self.view.foreign_reports(now_s)]
         answers = [
-            messages.ZoneNews(report=report, config=self.speaker.shown.config())
+            messages.ZoneUpdate(
+                report=report, config=self.speaker.shown.config()
+            )
             for report in reports
         ]
         return [
@@ -82,11 +90,11 @@
         ]
 
     def zone_news(
-        self, sender: Contact, news: messages.ZoneNews, now_s: float
+        self, sender: Contact, news: messages.ZoneUpdate, now_s: float
     ) -> list[speaker.Outgoing]:
         """Take a report of a zone, and pass it on with the next heartbeat."""
         if news.report.zone == self.view.zone:
-            self.name_mates(news.report.cards)
+            self.name_zone_peers(news.report.records)
             return self.speaker.greetings(now_s)
         zone = self.view.zone_named(news.report.zone)
         is_new = news.report.revision not in zone.revisions
@@ -94,17 +102,21 @@
         reporter = news.report.reporter
         self.speaker.fresh_reports[reporter] = news.report
         if is_new:
-            sent.extend(self.speaker.to_mates(self.speaker.heartbeat(), now_s))
+            sent.extend(
+                self.speaker.to_zone_peers(self.speaker.heartbeat(), now_s)
+            )
         self.speaker.fresh_reports[reporter] = msgspec.structs.replace(
-            news.report, cards=()
+            news.report, records=()
         )
         return sent
 
-    def name_mates(self, cards: tuple[messages.Card, ...]) -> None:
-        """Take the names of zone mates as addresses to greet."""
-        for card in cards:
-            if card.peer_address not in self.speaker.seeds:
-                self.speaker.seeds.append(card.peer_address)
+    def name_zone_peers(
+        self, records: tuple[messages.MemberRecord, ...]
+    ) -> None:
+        """Take the names of zone peers as addresses to greet."""
+        for record in records:
+            if record.peer_address not in self.speaker.seeds:
+                self.speaker.seeds.append(record.peer_address)
         self.speaker.next_seed = 0
 
     def wants(
@@ -113,12 +125,12 @@
         reports: tuple[messages.ZoneReport, ...],
         now_s: float,
     ) -> list[speaker.Outgoing]:
-        """Take reports, and ask for the cards of unknown revisions."""
+        """Take reports, and ask for the records of unknown revisions."""
         foreign = [one for one in reports if one.zone != self.view.zone]
         return [
             speaker.Outgoing(
                 to=sender,
-                message=messages.CardsWanted(
+                message=messages.MembersRequest(
                     zone=report.zone, revision=report.revision
                 ),
             )
@@ -126,25 +138,25 @@
             if not self.view.zone_named(report.zone).take(report, now_s)
         ]
 
-    def cards_of(
-        self, wanted: messages.CardsWanted, now_s: float
-    ) -> tuple[messages.Card, ...]:
-        """Return the cards of a revision, none if they are not known."""
+    def records_of(
+        self, wanted: messages.MembersRequest, now_s: float
+    ) -> tuple[messages.MemberRecord, ...]:
+        """Return the records of a revision, none if they are not known."""
         if wanted.zone == self.view.zone:
             report = self.view.report(now_s)
-            return report.cards if report.revision == wanted.revision else ()
+            return report.records if report.revision == wanted.revision else ()
         zone = self.view.zones.get(wanted.zone)
         return zone.revisions.get(wanted.revision, ()) if zone else ()
 
-    def cards_wanted(
-        self, sender: Contact, wanted: messages.CardsWanted, now_s: float
+    def members_wanted(
+        self, sender: Contact, wanted: messages.MembersRequest, now_s: float
     ) -> list[speaker.Outgoing]:
-        """Send the cards of a revision, if they are known."""
-        cards = self.cards_of(wanted, now_s)
-        if not cards:
+        """Send the records of a revision, if they are known."""
+        records = self.records_of(wanted, now_s)
+        if not records:
             return []
-        told = messages.CardsSent(
-            zone=wanted.zone, revision=wanted.revision, cards=cards
+        told = messages.MembersReply(
+            zone=wanted.zone, revision=wanted.revision, records=records
         )
         return [speaker.Outgoing(to=sender.peer_address, message=told)]
 
@@ -152,8 +164,10 @@
         self, sender: Contact, probe: messages.Probe, now_s: float
     ) -> list[speaker.Outgoing]:
         """Say how long an instance has been silent here."""
-        silence_ms = self.view.mates.silence_ms(probe.epoch, now_s)
+        silence_ms = self.view.zone_peers.silence_ms(probe.epoch, now_s)
         if silence_ms is None:
             return []
-        vouch = messages.Vouch(epoch=probe.epoch, silence_ms=silence_ms)
-        return [speaker.Outgoing(to=sender.peer_address, message=vouch)]
+        probe_reply = messages.ProbeReply(
+            epoch=probe.epoch, silence_ms=silence_ms
+        )
+        return [speaker.Outgoing(to=sender.peer_address, message=probe_reply)]
--- a/packages/guavaroad/src/guavaroad/domain/membership/messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/membership/messages.py
@@ -21,7 +21,7 @@
     digest: str = ''
 
 
-class Card(msgspec.Struct, frozen=True, array_like=True, order=True):
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True, order=True):
     """One instance of a zone.
 
     Attributes:
@@ -49,14 +49,14 @@
     Attributes:
         zone: The zone.
         reporter: Epoch of the instance that says so.
-        revision: Hash of the cards.
-        cards: The cards, or none if the reader should know the revision.
+        revision: Hash of the records.
+        records: The records, or none if the reader should know the revision.
     """
 
     zone: names.AvailabilityZone
     reporter: names.Epoch
     revision: int
-    cards: tuple[Card, ...] = ()
+    records: tuple[MemberRecord, ...] = ()
 
 
 class Heartbeat(
@@ -85,7 +85,7 @@
     extension: dict[str, Any] = {}
 
 
-class ZoneNews(
+class ZoneUpdate(
     msgspec.Struct, frozen=True, array_like=True, tag='membership.zone'
 ):
     """A zone report sent over a link between zones.
@@ -99,10 +99,13 @@
     config: ConfigMark = ConfigMark()
 
 
-class CardsWanted(
-    msgspec.Struct, frozen=True, array_like=True, tag='membership.cards_wanted'
+class MembersRequest(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='membership.members_request',
 ):
-    """Asks for the cards of a revision.
+    """Asks for the records of a revision.
 
     Attributes:
         zone: The zone.
@@ -113,14 +116,14 @@
     revision: int
 
 
-class CardsSent(
-    msgspec.Struct, frozen=True, array_like=True, tag='membership.cards'
+class MembersReply(
+    msgspec.Struct, frozen=True, array_like=True, tag='membership.members_reply'
 ):
-    """The cards of a revision."""
+    """The records of a revision."""
 
     zone: names.AvailabilityZone
     revision: int
-    cards: tuple[Card, ...]
+    records: tuple[MemberRecord, ...]
 
 
 class Probe(
@@ -131,8 +134,8 @@
     epoch: names.Epoch
 
 
-class Vouch(
-    msgspec.Struct, frozen=True, array_like=True, tag='membership.vouch'
+class ProbeReply(
+    msgspec.Struct, frozen=True, array_like=True, tag='membership.probe_reply'
 ):
     """Says how long an instance of the zone has been silent.
 
--- a/packages/guavaroad/src/guavaroad/domain/membership/speaker.py
+++ b/packages/guavaroad/src/guavaroad/domain/membership/speaker.py
@@ -60,17 +60,19 @@
         """Return the messages of one period."""
         heartbeat = self.heartbeat()
         self.fresh_reports.clear()
-        sent = self.to_mates(heartbeat, now_s)
+        sent = self.to_zone_peers(heartbeat, now_s)
         sent.extend(self.greetings(now_s))
         sent.extend(self.to_zones(now_s))
         sent.extend(self.probes(now_s))
         return sent
 
-    def to_mates(self, message: msgspec.Struct, now_s: float) -> list[Outgoing]:
+    def to_zone_peers(
+        self, message: msgspec.Struct, now_s: float
+    ) -> list[Outgoing]:
         """Address a message to every live instance of this zone."""
         return [
-            Outgoing(to=mate.peer_address, message=message)
-            for mate in self.view.live_mates(now_s)
+            Outgoing(to=zone_peer.peer_address, message=message)
+            for zone_peer in self.view.live_zone_peers(now_s)
         ]
 
     def to_zones(self, now_s: float) -> list[Outgoing]:
@@ -79,10 +81,10 @@
         targets = self.view.link_targets(now_s)
         told: Told = (report.revision, *targets)
         if told == self.last_told:
-            # Whoever missed the cards asks for them by their revision.
-            report = msgspec.structs.replace(report, cards=())
+            # Whoever missed the records asks for them by their revision.
+            report = msgspec.structs.replace(report, records=())
         self.last_told = told
-        news = messages.ZoneNews(report=report, config=self.shown.config())
+        news = messages.ZoneUpdate(report=report, config=self.shown.config())
         return [Outgoing(to=address, message=news) for address in targets]
 
     def changes(self, now_s: float) -> list[Outgoing]:
@@ -128,23 +130,23 @@
 
     def probes(self, now_s: float) -> list[Outgoing]:
         """Ask others about each instance of the zone that fell silent."""
-        live = self.view.live_mates(now_s)
+        live = self.view.live_zone_peers(now_s)
         helpers = [
-            mate.peer_address
-            for mate in live
-            if mate.judge(now_s) is standing.Standing.ALIVE
+            zone_peer.peer_address
+            for zone_peer in live
+            if zone_peer.judge(now_s) is standing.Standing.ALIVE
         ]
         return [
             Outgoing(
                 to=helper,
-                message=messages.Probe(epoch=mate.incarnation.epoch),
+                message=messages.Probe(epoch=zone_peer.incarnation.epoch),
             )
-            for mate in live
-            if mate.judge(now_s) is standing.Standing.SUSPECT
+            for zone_peer in live
+            if zone_peer.judge(now_s) is standing.Standing.SUSPECT
             for helper in helpers[:_PROBES]
         ]
 
-    def farewell(self, now_s: float) -> list[Outgoing]:
+    def leave_notice(self, now_s: float) -> list[Outgoing]:
         """Return the messages that tell everybody that this one leaves."""
         self.view.leaving = True
         return self.tick(now_s)
--- a/packages/guavaroad/src/guavaroad/domain/membership/view.py
+++ b/packages/guavaroad/src/guavaroad/domain/membership/view.py
@@ -1,14 +1,14 @@
-"""The view of one instance: its zone mates and the other zones."""
+"""The view of one instance: its zone peers and the other zones."""
 
 import dataclasses
 
 from guavaroad.domain import identity, names
 from guavaroad.domain.membership import (
     links,
-    mates,
     messages,
     standing,
     timing,
+    zone_peers,
     zones,
 )
 
@@ -34,12 +34,12 @@
     def __init__(self, *, own: Own) -> None:
         self.own = own
         self.zone = own.incarnation.availability_zone
-        self.mates = mates.Mates()
+        self.zone_peers = zone_peers.ZonePeers()
         self.zones: dict[names.AvailabilityZone, zones.Zone] = {}
         self.leaving = False
         self.last_tick_s: float | None = None
         self.watching_since_s: float | None = None
-        self.had_mate = False
+        self.had_zone_peer = False
 
     def zone_named(self, name: names.AvailabilityZone) -> zones.Zone:
         """Return another zone, new if it is unknown."""
@@ -53,34 +53,34 @@
         """Return every other instance with its state."""
         found = {
             epoch: zones.RemoteMember(
-                incarnation=mate.incarnation,
-                peer_address=mate.peer_address,
+                incarnation=zone_peer.incarnation,
+                peer_address=zone_peer.peer_address,
                 state=standing.Standing.DEAD,
             )
-            for epoch, mate in self.mates.superseded.items()
+            for epoch, zone_peer in self.zone_peers.superseded.items()
         }
         for zone in self.zones.values():
             found.update(zone.members(now_s))
-        for epoch, mate in self.mates.by_epoch.items():
+        for epoch, zone_peer in self.zone_peers.by_epoch.items():
             found[epoch] = zones.RemoteMember(
-                incarnation=mate.incarnation,
-                peer_address=mate.peer_address,
-                state=mate.judge(now_s),
+                incarnation=zone_peer.incarnation,
+                peer_address=zone_peer.peer_address,
+                state=zone_peer.judge(now_s),
             )
         return found
 
-    def cards(self, now_s: float) -> tuple[messages.Card, ...]:
+    def records(self, now_s: float) -> tuple[messages.MemberRecord, ...]:
         """Return the live instances of this zone, this one too."""
         live = [
-            card_of(mate)
-            for mate in self.mates.by_epoch.values()
-            if mate.judge(now_s) is not standing.Standing.DEAD
+            record_of(zone_peer)
+            for zone_peer in self.zone_peers.by_epoch.values()
+            if zone_peer.judge(now_s) is not standing.Standing.DEAD
         ]
-        return tuple(sorted([self.own_card(), *live]))
+        return tuple(sorted([self.own_record(), *live]))
 
-    def own_card(self) -> messages.Card:
-        """Return the card of this instance."""
-        return messages.Card(
+    def own_record(self) -> messages.MemberRecord:
+        """Return the record of this instance."""
+        return messages.MemberRecord(
             address=self.own.incarnation.address,
             epoch=self.own.incarnation.epoch,
             peer_address=self.own.peer_address,
@@ -89,12 +89,12 @@
 
     def report(self, now_s: float) -> messages.ZoneReport:
         """Return the report of this instance on its zone."""
-        cards = self.cards(now_s)
+        records = self.records(now_s)
         return messages.ZoneReport(
             zone=self.zone,
             reporter=self.own.incarnation.epoch,
-            revision=links.revision_of(cards),
-            cards=cards,
+            revision=links.revision_of(records),
+            records=records,
         )
 
     def foreign_reports(self, now_s: float) -> list[messages.ZoneReport]:
@@ -104,15 +104,15 @@
 
     def link_targets(self, now_s: float) -> list[names.PeerAddress]:
         """Return whom in other zones this instance reports to."""
-        cards = self.cards(now_s)
+        records = self.records(now_s)
         own = self.own.incarnation.epoch
         targets = [
             links.link_target(
-                own, (self.zone, name), cards, zone.live_cards(now_s)
+                own, (self.zone, name), records, zone.live_records(now_s)
             )
             for name, zone in self.zones.items()
         ]
-        return [card.peer_address for card in targets if card is not None]
+        return [record.peer_address for record in targets if record is not None]
 
     def live_addresses(self, now_s: float) -> set[names.PeerAddress]:
         """Return the peer addresses that need no greeting."""
@@ -122,20 +122,20 @@
             if member.state is not standing.Standing.DEAD
         }
 
-    def live_mates(self, now_s: float) -> list[mates.Mate]:
+    def live_zone_peers(self, now_s: float) -> list[zone_peers.ZonePeer]:
         """Return the instances of this zone that are not dead."""
         return [
-            mate
-            for mate in self.mates.by_epoch.values()
-            if mate.judge(now_s) is not standing.Standing.DEAD
+            zone_peer
+            for zone_peer in self.zone_peers.by_epoch.values()
+            if zone_peer.judge(now_s) is not standing.Standing.DEAD
         ]
 
     def alone(self, now_s: float) -> bool:
         """Return whether the zone had another instance and none is heard."""
-        if self.live_mates(now_s):
-            self.had_mate = True
+        if self.live_zone_peers(now_s):
+            self.had_zone_peer = True
             return False
-        return self.had_mate
+        return self.had_zone_peer
 
     def watching_s(self, now_s: float) -> float:
         """Return for how long this instance has listened without a gap."""
@@ -160,18 +160,18 @@
         if gap_s < timing.OWN_GAP_S:
             return 0
         self.watching_since_s = now_s
-        self.mates.excuse(gap_s)
+        self.zone_peers.excuse(gap_s)
         for zone in self.zones.values():
             zone.excuse(gap_s)
         return gap_s
 
 
-def card_of(mate: mates.Mate) -> messages.Card:
-    """Return the card of a zone mate."""
-    heartbeat = mate.heartbeat
-    return messages.Card(
-        address=mate.incarnation.address,
-        epoch=mate.incarnation.epoch,
-        peer_address=mate.peer_address,
+def record_of(zone_peer: zone_peers.ZonePeer) -> messages.MemberRecord:
+    """Return the record of a zone peer."""
+    heartbeat = zone_peer.heartbeat
+    return messages.MemberRecord(
+        address=zone_peer.incarnation.address,
+        epoch=zone_peer.incarnation.epoch,
+        peer_address=zone_peer.peer_address,
         leaving=heartbeat is not None and heartbeat.leaving,
     )
--- a/packages/guavaroad/src/guavaroad/domain/membership/mates.py
+++ b/packages/guavaroad/src/guavaroad/domain/membership/zone_peers.py
@@ -1,4 +1,4 @@
-"""The instances of this zone, heard directly or vouched for."""
+"""The instances of this zone, heard directly or answered for."""
 
 import dataclasses
 from typing import Any, Final
@@ -11,7 +11,7 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Mate:
+class ZonePeer:
     """Another instance of this zone.
 
     Attributes:
@@ -54,47 +54,47 @@
         return self.heartbeat.started_ms if self.heartbeat else 0
 
 
-class Mates:
+class ZonePeers:
     """Every known instance of this zone but this one."""
 
     def __init__(self) -> None:
-        self.by_epoch: dict[names.Epoch, Mate] = {}
-        self.superseded: dict[names.Epoch, Mate] = {}
+        self.by_epoch: dict[names.Epoch, ZonePeer] = {}
+        self.superseded: dict[names.Epoch, ZonePeer] = {}
 
-    def hear(self, mate: Mate) -> bool:
+    def hear(self, zone_peer: ZonePeer) -> bool:
         """Take a heartbeat that came directly.
 
         Args:
-            mate: The sender with its heartbeat.
+            zone_peer: The sender with its heartbeat.
 
         Returns:
             Whether it counts; a process that was replaced does not.
         """
-        if mate.incarnation.epoch in self.superseded:
+        if zone_peer.incarnation.epoch in self.superseded:
             return False
-        if not self.supersede(mate):
+        if not self.supersede(zone_peer):
             return False
-        known = self.by_epoch.get(mate.incarnation.epoch)
-        if known is not None and is_older(mate, known):
+        known = self.by_epoch.get(zone_peer.incarnation.epoch)
+        if known is not None and is_older(zone_peer, known):
             return False
-        self.by_epoch[mate.incarnation.epoch] = mate
+        self.by_epoch[zone_peer.incarnation.epoch] = zone_peer
         return True
 
-    def supersede(self, mate: Mate) -> bool:
+    def supersede(self, zone_peer: ZonePeer) -> bool:
         """Declare an earlier process at the same address dead.
 
         Args:
-            mate: A process that was heard.
+            zone_peer: A process that was heard.
 
         Returns:
             Whether it is the latest process at its address.
         """
         for known in tuple(self.by_epoch.values()):
-            if known.peer_address != mate.peer_address:
+            if known.peer_address != zone_peer.peer_address:
                 continue
-            if known.incarnation.epoch == mate.incarnation.epoch:
+            if known.incarnation.epoch == zone_peer.incarnation.epoch:
                 continue
-            if known.started_ms() > mate.started_ms():
+            if known.started_ms() > zone_peer.started_ms():
                 return False
             self.by_epoch.pop(known.incarnation.epoch)
             self.superseded[known.incarnation.epoch] = known
@@ -102,25 +102,27 @@
             self.superseded.pop(next(iter(self.superseded)))
         return True
 
-    def name(self, mate: Mate) -> bool:
+    def name(self, zone_peer: ZonePeer) -> bool:
         """Take note of an instance that a third one named.
 
         Args:
-            mate: The instance; it is not alive before it is heard.
+            zone_peer: The instance; it is not alive before it is heard.
 
         Returns:
             Whether it was not known.
         """
-        epoch = mate.incarnation.epoch
+        epoch = zone_peer.incarnation.epoch
         if epoch in self.by_epoch or epoch in self.superseded:
             return False
         taken = {known.peer_address for known in self.by_epoch.values()}
-        if mate.peer_address in taken:
+        if zone_peer.peer_address in taken:
             return False
-        self.by_epoch[epoch] = mate
+        self.by_epoch[epoch] = zone_peer
         return True
 
-    def vouch(self, epoch: names.Epoch, silence_ms: int, now_s: float) -> None:
+    def probe_reply(
+        self, epoch: names.Epoch, silence_ms: int, now_s: float
+    ) -> None:
         """Take a third instance's word on when one was last heard."""
         known = self.by_epoch.get(epoch)
         if known is not None and silence_ms < timing.VOUCH_S * _MS:
@@ -139,7 +141,7 @@
         for known in self.by_epoch.values():
             known.heard_s += gap_s
 
-    def forget(self, now_s: float) -> list[Mate]:
+    def forget(self, now_s: float) -> list[ZonePeer]:
         """Drop and return those that have been dead for long."""
         gone = [
             known
@@ -151,8 +153,8 @@
         return gone
 
 
-def is_older(mate: Mate, known: Mate) -> bool:
+def is_older(zone_peer: ZonePeer, known: ZonePeer) -> bool:
     """Return whether a heartbeat was overtaken by a later one."""
-    if mate.heartbeat is None or known.heartbeat is None:
+    if zone_peer.heartbeat is None or known.heartbeat is None:
         return False
-    return mate.heartbeat.sequence <= known.heartbeat.sequence
+    return zone_peer.heartbeat.sequence <= known.heartbeat.sequence
--- a/packages/guavaroad/src/guavaroad/domain/membership/zones.py
+++ b/packages/guavaroad/src/guavaroad/domain/membership/zones.py
@@ -29,9 +29,9 @@
     """The last report of one instance on its own zone.
 
     Attributes:
-        revision: Hash of the cards it named.
+        revision: Hash of the records it named.
         heard_s: When the report came, seconds.
-        shown: Latest revision of it whose cards were known.
+        shown: Latest revision of it whose records were known.
     """
 
     revision: int
@@ -54,8 +54,8 @@
     def __init__(self, *, name: names.AvailabilityZone) -> None:
         self.name = name
         self.reporters: dict[names.Epoch, Reporter] = {}
-        self.revisions: dict[int, tuple[messages.Card, ...]] = {}
-        self.last_seen: dict[names.Epoch, messages.Card] = {}
+        self.revisions: dict[int, tuple[messages.MemberRecord, ...]] = {}
+        self.last_seen: dict[names.Epoch, messages.MemberRecord] = {}
 
     def take(self, report: messages.ZoneReport, now_s: float) -> bool:
         """Take a report.
@@ -65,10 +65,10 @@
             now_s: Present time, seconds.
 
         Returns:
-            Whether the cards of its revision are known.
+            Whether the records of its revision are known.
         """
-        if report.cards:
-            self.learn(report.revision, report.cards)
+        if report.records:
+            self.learn(report.revision, report.records)
         known = self.reporters.get(report.reporter)
         is_known = report.revision in self.revisions
         before = report.revision if known is None else known.shown
@@ -79,17 +79,21 @@
         )
         return is_known
 
-    def cards_of(self, reporter: Reporter) -> tuple[messages.Card, ...]:
-        """Return what it named, or named before while the cards lack."""
+    def records_of(
+        self, reporter: Reporter
+    ) -> tuple[messages.MemberRecord, ...]:
+        """Return what it named, or named before while the records lack."""
         earlier = self.revisions.get(reporter.shown, ())
         return self.revisions.get(reporter.revision, earlier)
 
-    def learn(self, revision: int, cards: tuple[messages.Card, ...]) -> None:
-        """Keep the cards of a revision."""
+    def learn(
+        self, revision: int, records: tuple[messages.MemberRecord, ...]
+    ) -> None:
+        """Keep the records of a revision."""
         self.revisions.pop(revision, None)
-        self.revisions[revision] = cards
-        for card in cards:
-            self.last_seen[card.epoch] = card
+        self.revisions[revision] = records
+        for record in records:
+            self.last_seen[record.epoch] = record
         while len(self.revisions) > _MAX_REVISIONS:
             self.revisions.pop(next(iter(self.revisions)))
 
@@ -99,15 +103,15 @@
         An instance lives as long as one fresh report names it.
         """
         found = {
-            epoch: self.member(card, standing.Standing.DEAD)
-            for epoch, card in self.last_seen.items()
+            epoch: self.member(record, standing.Standing.DEAD)
+            for epoch, record in self.last_seen.items()
         }
         for reporter in self.freshest_last():
             state = reporter.judge(now_s)
             if state is standing.Standing.DEAD:
                 continue
-            for card in self.cards_of(reporter):
-                found[card.epoch] = self.member(card, state)
+            for record in self.records_of(reporter):
+                found[record.epoch] = self.member(record, state)
         return found
 
     def freshest_last(self) -> list[Reporter]:
@@ -121,31 +125,31 @@
                 zone=self.name,
                 reporter=epoch,
                 revision=reporter.revision,
-                cards=self.revisions.get(reporter.revision, ()),
+                records=self.revisions.get(reporter.revision, ()),
             )
             for epoch, reporter in self.reporters.items()
             if reporter.judge(now_s) is standing.Standing.ALIVE
         ]
-        return max(found, key=lambda one: len(one.cards), default=None)
+        return max(found, key=lambda one: len(one.records), default=None)
 
     def member(
-        self, card: messages.Card, state: standing.Standing
+        self, record: messages.MemberRecord, state: standing.Standing
     ) -> RemoteMember:
         """Return an instance of this zone."""
-        if card.leaving and state is not standing.Standing.DEAD:
+        if record.leaving and state is not standing.Standing.DEAD:
             state = standing.Standing.LEAVING
         return RemoteMember(
-            incarnation=card.incarnation(self.name),
-            peer_address=card.peer_address,
+            incarnation=record.incarnation(self.name),
+            peer_address=record.peer_address,
             state=state,
         )
 
-    def live_cards(self, now_s: float) -> tuple[messages.Card, ...]:
+    def live_records(self, now_s: float) -> tuple[messages.MemberRecord, ...]:
         """Return the instances that may be linked to."""
         members = self.members(now_s)
         return tuple(
-            card
-            for epoch, card in self.last_seen.items()
+            record
+            for epoch, record in self.last_seen.items()
             if members[epoch].state is standing.Standing.ALIVE
         )
 
@@ -154,7 +158,7 @@
         for reporter in self.reporters.values():
             reporter.heard_s += gap_s
 
-    def forget(self, now_s: float) -> list[messages.Card]:
+    def forget(self, now_s: float) -> list[messages.MemberRecord]:
         """Drop old reporters; drop and return instances long unnamed."""
         self.reporters = {
             epoch: reporter
@@ -162,13 +166,15 @@
             if now_s - reporter.heard_s <= timing.FORGET_S
         }
         named = {
-            card.epoch
+            record.epoch
             for reporter in self.reporters.values()
-            for card in self.cards_of(reporter)
+            for record in self.records_of(reporter)
         }
         gone = [
-            card for epoch, card in self.last_seen.items() if epoch not in named
+            record
+            for epoch, record in self.last_seen.items()
+            if epoch not in named
         ]
-        for card in gone:
-            self.last_seen.pop(card.epoch)
+        for record in gone:
+            self.last_seen.pop(record.epoch)
         return gone
--- a/packages/guavaroad/src/guavaroad/services/config_peers.py
+++ b/packages/guavaroad/src/guavaroad/services/config_peers.py
@@ -60,7 +60,7 @@
         now_s = self.timers.now()
         if zone == self.view.zone:
             self.follower.contact_s = now_s
-            self.follower.has_mates = True
+            self.follower.has_zone_peers = True
         if mark.row_version == 0 and self.follower.known is not None:
             return
         if self.follower.hear_of(mark.row_version, now_s):
@@ -143,8 +143,8 @@
             objection=self.objection(),
             watching_ms=round(self.view.watching_s(now_s) * _MS),
             silences_ms={
-                mate.peer_address: round((now_s - mate.heard_s) * _MS)
-                for mate in self.view.mates.by_epoch.values()
+                zone_peer.peer_address: round((now_s - zone_peer.heard_s) * _MS)
+                for zone_peer in self.view.zone_peers.by_epoch.values()
             },
         )
 
--- a/packages/guavaroad/src/guavaroad/services/configuration.py
+++ b/packages/guavaroad/src/guavaroad/services/configuration.py
@@ -109,7 +109,7 @@
     def list_changed(self, listed: platform.InstanceList) -> None:
         """Take note that the platform lists no other in this zone."""
         own = self.members.view.own.incarnation
-        self.follower.has_mates = any(
+        self.follower.has_zone_peers = any(
             entry.availability_zone == own.availability_zone
             and entry.address != own.address
             for entry in listed.entries
--- a/packages/guavaroad/src/guavaroad/services/forwarding.py
+++ b/packages/guavaroad/src/guavaroad/services/forwarding.py
@@ -18,7 +18,7 @@
 
 FORWARDED_HEADER: Final = 'Guavaroad-Forwarded'
 PROBE_PERIOD_S: Final = 0.7
-_STRANGER: Final = 'no instance is known at the address in the id'
+_UNKNOWN_ADDRESS: Final = 'no instance is known at the address in the id'
 PROBE_TIMEOUT_S: Final = 1.5
 PROBE_SHARED_S: Final = 0.6
 FAILED_PROBES: Final = 3
@@ -156,7 +156,7 @@
         The wait ends early when the owner stops answering probes.
         """
         if not self.knows(owner.address):
-            return defer.succeed(Unreached(sent=False, detail=_STRANGER))
+            return defer.succeed(Unreached(sent=False, detail=_UNKNOWN_ADDRESS))
         exchange = defer.ensureDeferred(
             self.client.exchange(self.call_of(owner, request))
         )
--- a/packages/guavaroad/src/guavaroad/services/membership.py
+++ b/packages/guavaroad/src/guavaroad/services/membership.py
@@ -81,7 +81,7 @@
 
     def leave(self) -> None:
         """Tell everybody at once that this instance is stopping."""
-        self.send(self.speaker.farewell(self.now()))
+        self.send(self.speaker.leave_notice(self.now()))
 
     def now(self) -> float:
         """Return the present time, with an own standstill excused."""
@@ -143,9 +143,12 @@
     def forget(self) -> None:
         """Close the ways to instances that have been dead for long."""
         now_s = self.now()
-        gone = [mate.peer_address for mate in self.view.mates.forget(now_s)]
+        gone = [
+            zone_peer.peer_address
+            for zone_peer in self.view.zone_peers.forget(now_s)
+        ]
         for zone in self.view.zones.values():
-            gone.extend(card.peer_address for card in zone.forget(now_s))
+            gone.extend(record.peer_address for record in zone.forget(now_s))
         live = self.view.live_addresses(now_s)
         for address in set(gone) - live:
             self.bus.forget(address)
--- a/packages/guavaroad/src/guavaroad/services/membership_inbox.py
+++ b/packages/guavaroad/src/guavaroad/services/membership_inbox.py
@@ -31,11 +31,11 @@
     def subscribe(self, bus: peers.PeerBus) -> None:
         """Take every message of membership from the bus."""
         bus.subscribe(messages.Heartbeat, self.on_heartbeat)
-        bus.subscribe(messages.ZoneNews, self.on_zone_news)
-        bus.subscribe(messages.CardsWanted, self.on_cards_wanted)
-        bus.subscribe(messages.CardsSent, self.on_cards)
+        bus.subscribe(messages.ZoneUpdate, self.on_zone_update)
+        bus.subscribe(messages.MembersRequest, self.on_members_request)
+        bus.subscribe(messages.MembersReply, self.on_members_reply)
         bus.subscribe(messages.Probe, self.on_probe)
-        bus.subscribe(messages.Vouch, self.on_vouch)
+        bus.subscribe(messages.ProbeReply, self.on_probe_reply)
 
     def on_heartbeat(
         self, peer: peers.Peer, heartbeat: messages.Heartbeat
@@ -46,7 +46,9 @@
         self.marked(peer, heartbeat.config)
         self.look()
 
-    def on_zone_news(self, peer: peers.Peer, news: messages.ZoneNews) -> None:
+    def on_zone_update(
+        self, peer: peers.Peer, news: messages.ZoneUpdate
+    ) -> None:
         """Take a report of a zone."""
         now_s = self.now()
         self.send(self.listener.zone_news(contact(peer), news, now_s))
@@ -60,18 +62,20 @@
                 peer.peer_address, peer.incarnation.availability_zone, mark
             )
 
-    def on_cards_wanted(
-        self, peer: peers.Peer, wanted: messages.CardsWanted
+    def on_members_request(
+        self, peer: peers.Peer, wanted: messages.MembersRequest
     ) -> None:
-        """Answer with the cards of a revision."""
+        """Answer with the records of a revision."""
         now_s = self.now()
-        self.send(self.listener.cards_wanted(contact(peer), wanted, now_s))
+        self.send(self.listener.members_wanted(contact(peer), wanted, now_s))
 
-    def on_cards(self, _: peers.Peer, told: messages.CardsSent) -> None:
-        """Take the cards of a revision."""
+    def on_members_reply(
+        self, _: peers.Peer, told: messages.MembersReply
+    ) -> None:
+        """Take the records of a revision."""
         if told.zone != self.listener.view.zone:
             zone = self.listener.view.zone_named(told.zone)
-            zone.learn(told.revision, told.cards)
+            zone.learn(told.revision, told.records)
             self.look()
 
     def on_probe(self, peer: peers.Peer, probe: messages.Probe) -> None:
@@ -79,10 +83,14 @@
         now_s = self.now()
         self.send(self.listener.probed(contact(peer), probe, now_s))
 
-    def on_vouch(self, _: peers.Peer, vouch: messages.Vouch) -> None:
+    def on_probe_reply(
+        self, _: peers.Peer, probe_reply: messages.ProbeReply
+    ) -> None:
         """Take another's word for an instance of this zone."""
         now_s = self.now()
-        self.listener.view.mates.vouch(vouch.epoch, vouch.silence_ms, now_s)
+        self.listener.view.zone_peers.probe_reply(
+            probe_reply.epoch, probe_reply.silence_ms, now_s
+        )
 
 
 def contact(peer: peers.Peer) -> listener.Contact:
