--- a/packages/guavaroad/src/guavaroad/ports/metrics.py
+++ b/packages/guavaroad/src/guavaroad/ports/metrics.py
@@ -46,25 +46,3 @@
         Args:
             seconds: Delay past the time asked for.
         """
-
-
-class NoMetrics:
-    """Drops every event, for tests of parts that take the port."""
-
-    def request_answered(self, code: int, seconds: float) -> None:
-        """Do nothing."""
-
-    def tasks_queued(self, count: int) -> None:
-        """Do nothing."""
-
-    def attempt_started(self) -> None:
-        """Do nothing."""
-
-    def attempt_ended(self, outcome: str, seconds: float) -> None:
-        """Do nothing."""
-
-    def platform_called(self, outcome: str, seconds: float) -> None:
-        """Do nothing."""
-
-    def loop_lagged(self, seconds: float) -> None:
-        """Do nothing."""
--- a/packages/guavaroad/src/guavaroad/services/dispatch.py
+++ b/packages/guavaroad/src/guavaroad/services/dispatch.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Callable
-from typing import Any, Final, Protocol
+from typing import Final, Protocol
 
 from guavaroad.domain import attempts, codes, names
 from guavaroad.domain.configuration import document
@@ -194,17 +194,6 @@
         if settled is not None:
             settled(job)
 
-    def describe(self) -> dict[str, Any]:
-        """Return queues and slots for the state dump."""
-        return {
-            'queued_tasks': self.queue.task_count,
-            'queued_bytes': self.queue.size_bytes,
-            'mean_task_s': round(self.queue.times.overall_s, 4),
-            'queues': self.queue.describe(),
-            'slots': self.slots.describe(),
-            'health': self.health.describe(),
-        }
-
 
 def static_uses(
     listed: tuple[upstreams.Upstream, ...], index: int, count: int
--- a/packages/guavaroad/src/guavaroad/services/membership.py
+++ b/packages/guavaroad/src/guavaroad/services/membership.py
@@ -10,7 +10,6 @@
 from guavaroad.domain.membership import (
     listener,
     speaker,
-    standing,
     timing,
     view,
 )
@@ -176,8 +175,3 @@
             ],
             'messages_sent': dict(self.counts),
         }
-
-
-def is_live(state: peers.PeerState) -> bool:
-    """Return whether an instance in that state may be serving."""
-    return state.value != standing.Standing.DEAD.value
