Test an interrupt with its default handler; the flaky scenario is traced

Cause: a shell starts background jobs with SIGINT ignored, and a child inherits that. guavaroadctl then rightly takes no interrupt and waits for its 120 s, which ends with code 4. The two red runs had been started in the background; the 36 runs that passed had not. Change: the test gives the child the default handler. A second scenario says what holds for a child that ignores interrupts: it goes on and exits 0. After: both pass with and without the trap.

--- a/features/ctl/submit.feature
+++ b/features/ctl/submit.feature
@@ -72,6 +72,11 @@
     Then it exits with 130
     And it notes "interrupted"
 
+  Scenario: A job of a shell in the background is not interrupted
+    Given a fake instance
+    When a submission that ignores interrupts gets one while it waits
+    Then it exits with 0
+
   Scenario Outline: The exit code follows the result code
     Given a fake instance
     And the submission is answered with code <code>
--- a/features/steps/ctl_steps.py
+++ b/features/steps/ctl_steps.py
@@ -1,11 +1,13 @@
 """Steps that run `guavaroadctl` against fake instances."""
 
+import contextlib
 import json
 import pathlib
 import signal
 import subprocess
 import sys
 import tempfile
+import threading
 
 import behave
 import ctl_fake as fakes
@@ -247,22 +249,44 @@
 def when_interrupted(context):
     held = fakes.Says(body={}, after=fakes.never)
     context.fake.on('POST', JOB_PATH, held)
-    tasks = str(file_of('[1]'))
-    with subprocess.Popen(
-        command(context, ['submit', 'render', tasks]),
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-        text=True,
-    ) as child:
-        interrupt(context, child)
+    interrupt(context, signal.default_int_handler)
+
 
+@behave.when('a submission that ignores interrupts gets one while it waits')
+def when_interrupted_in_vain(context):
+    interrupted = threading.Event()
+    late = fakes.Says(body=COMPLETE.body, after=interrupted.is_set)
+    context.fake.on('POST', JOB_PATH, late)
+    interrupt(context, signal.SIG_IGN, then=interrupted.set)
 
-def interrupt(context, child):
+
+@contextlib.contextmanager
+def interrupts_handled_by(handler):
+    # A child inherits that interrupts are ignored, as they are in the
+    # background jobs of a shell; any other handler it gets as the default.
+    before = signal.signal(signal.SIGINT, handler)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGINT, before)
+
+
+def interrupt(context, handler, then=lambda: None):
+    words = ['submit', 'render', str(file_of('[1]'))]
+    with interrupts_handled_by(handler):
+        child = subprocess.Popen(
+            command(context, words),
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+    context.add_cleanup(child.kill)
     processes.wait_until(
         lambda: context.fake.requests('POST', JOB_PATH), 'it was sent'
     )
     child.send_signal(signal.SIGINT)
-    said = child.communicate()
+    then()
+    said = child.communicate(timeout=CALL_TIMEOUT_S)
     context.printed = said[0]
     context.noted = said[1]
     context.exit_code = child.returncode
