--- a/features/steps/ctl_steps.py
+++ b/features/steps/ctl_steps.py
@@ -271,7 +271,7 @@
         signal.signal(signal.SIGINT, before)
 
 
-def interrupt(context, handler, then=lambda: None):
+def interrupt(context, handler, then=None):
     words = ['submit', 'render', str(file_of('[1]'))]
     with interrupts_handled_by(handler):
         child = subprocess.Popen(
@@ -285,7 +285,8 @@
         lambda: context.fake.requests('POST', JOB_PATH), 'it was sent'
     )
     child.send_signal(signal.SIGINT)
-    then()
+    if then is not None:
+        then()
     said = child.communicate(timeout=CALL_TIMEOUT_S)
     context.printed = said[0]
     context.noted = said[1]
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -33,7 +33,9 @@
 def then_statuses(context, allowed):
     wait_for_answers(context.fleet)
     statuses = {int(text) for text in allowed.split(' or ')}
-    others = [one for one in context.fleet.answers if one[1] not in statuses]
+    others = [
+        one for one in context.fleet.answers if one.status not in statuses
+    ]
     assert context.fleet.answers
     assert not others, others[:5]
 
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -1,10 +1,12 @@
 """Real processes of the users' program against the stand-in platform."""
 
 import contextlib
+import dataclasses
 import itertools
 import json
 import os
 import pathlib
+import select
 import signal
 import subprocess
 import sys
@@ -32,8 +34,10 @@
 [Bounds]
 GraceS = 6
 [platform]
-Address = "127.0.0.1:{store}"
+Address = "{store}"
 """
+PROXIED = 1000
+PEER_ADDRESS_VARIABLE = 'GUAVAROAD_PEER_ADDRESS'
 
 
 def own_addresses():
@@ -59,8 +63,42 @@
         return answer.status, dict(answer.getheaders()), answer.read()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """What a client was told, or that it was told nothing.
+
+    Attributes:
+        job_id: Id of the job.
+        path: Where it was sent.
+        tasks: Tasks of the job.
+        status: Status; 0 where the line ended without a whole answer.
+        body: Body, or why there is none.
+        process: Name of the process.
+        life: Number of the process's life.
+        sent_s: When it was sent.
+        ended_s: When the answer or the end of the line came.
+    """
+
+    job_id: str
+    path: str
+    tasks: int
+    status: int
+    body: bytes
+    process: str
+    life: int
+    sent_s: float
+    ended_s: float
+
+
 class Process:
-    """One process of the program."""
+    """One process of the program.
+
+    Attributes:
+        front: Where its clients connect.
+        life: How often it was started.
+        routes: Proxied ways by name, if it has such.
+        connections: Open connections of clients that wait for nothing.
+    """
 
     def __init__(self, *, fleet, name, zone):
         self.fleet = fleet
@@ -69,25 +107,42 @@
         self.ip = next(ADDRESSES)
         self.front = (self.ip, FRONT_PORT)
         self.ready = (self.ip, READY_PORT)
+        self.routes = {}
+        self.connections = []
+        self.environment = {}
+        store = (HOST, fleet.store_port)
+        if fleet.proxy is not None:
+            store = self.proxied('store', (self.ip, 23009), store)
+            self.front = self.proxied('front', self.near(21001), self.front)
+            peers = self.proxied('peers', self.near(21003), (self.ip, 21003))
+            self.environment[PEER_ADDRESS_VARIABLE] = told(peers)
         self.settings = fleet.folder / f'{name}.toml'
         self.settings.write_text(
-            SETTINGS.format(
-                name=name,
-                zone=zone,
-                ip=self.ip,
-                store=fleet.store_port,
-            )
+            SETTINGS.format(name=name, zone=zone, ip=self.ip, store=told(store))
         )
         self.log = fleet.folder / f'{name}.log'
         self.child = None
+        self.life = 0
         self.start()
 
+    def near(self, port):
+        """Return the address that is proxied for a port."""
+        return (self.ip, port + PROXIED)
+
+    def proxied(self, name, listen, target):
+        """Lead an address through the proxy."""
+        self.routes[name] = self.fleet.proxy.add(listen, target)
+        return listen
+
     def start(self):
         """Start the process."""
+        self.life += 1
         with self.log.open('ab') as log:
             self.child = subprocess.Popen(
                 [sys.executable, '-m', 'guavaroad_platform'],
-                env=os.environ | {'GUAVAROAD_SETTINGS': str(self.settings)},
+                env=os.environ
+                | {'GUAVAROAD_SETTINGS': str(self.settings)}
+                | self.environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
@@ -112,10 +167,34 @@
             return False
 
 
+def told(address):
+    """Return an address as the settings have it."""
+    return f'{address[0]}:{address[1]}'
+
+
+def take_line(process):
+    """Return an open connection to a process, or a new one."""
+    while process.connections:
+        line = process.connections.pop()
+        has_ended = select.select([line.sock], [], [], 0)[0]
+        if not has_ended:
+            return line
+        line.close()
+    return client.HTTPConnection(*process.front, timeout=ASK_TIMEOUT_S)
+
+
 class PlatformFleet:
-    """The stand-in, some processes, and clients."""
+    """The stand-in, some processes, and clients.
 
-    def __init__(self, *, instances, workers, zones=('a', 'b', 'c')):
+    Attributes:
+        proxy: Stands between all of them, if there is one.
+        worker_routes: Proxied ways to the workers, by id.
+    """
+
+    def __init__(
+        self, *, instances, workers, zones=('a', 'b', 'c'), proxy=None
+    ):
+        self.proxy = proxy
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='guavaroad-'))
         self.standin = subprocess.Popen(
             [
@@ -132,7 +211,9 @@
         ports = self.standin.stdout.readline().split()
         self.store_port = int(ports[0])
         self.control_address = (HOST, int(ports[1]))
-        self.control('/config', platform_requests.config())
+        self.worker_routes = self.lead_to_workers() if proxy else {}
+        self.config = platform_requests.config()
+        self.control('/config', self.config)
         self.processes = [
             Process(
                 fleet=self, name=f'i{number}', zone=zones[number % len(zones)]
@@ -143,6 +224,15 @@
         self.answers = []
         self.count = 0
 
+    def lead_to_workers(self):
+        """Lead the addresses of the workers through the proxy."""
+        routes = {}
+        for name, port in self.control('/workers').items():
+            listen = (next(ADDRESSES), port)
+            routes[name] = self.proxy.add(listen, (HOST, port))
+            self.control('/address', {'id': name, 'address': told(listen)})
+        return routes
+
     def control(self, path, document=None):
         """Ask the stand-in's control page."""
         method = 'GET' if document is None else 'POST'
@@ -160,34 +250,51 @@
         name = self.control('/state')['holder']['holder']
         return next(one for one in self.processes if one.name == name)
 
-    def submit(self, process, *, tasks=2, work_ms=100, urgency=1, job=None):
+    def submit(
+        self, process, *, tasks=2, work_ms=100, urgency=1, job=None, queue=None
+    ):
         """Hand a job in from a thread of its own."""
         self.count += 1
         job_id = job or f'{self.count:016x}'
+        path = f'/{queue or f"q{urgency}"}/{job_id}'
         return self.pool.submit(
-            self.hand_in, process, job_id, tasks, work_ms, urgency
+            self.hand_in, process, job_id, path, tasks, work_ms
         )
 
-    def hand_in(self, process, job_id, tasks, work_ms, urgency):
-        """Hand a job in, and keep its answer."""
+    def hand_in(self, process, job_id, path, tasks, work_ms):
+        """Hand a job in on an open connection, and keep its answer."""
         document = platform_requests.good_job(
             TaskSpec=str(work_ms),
             Steps=[{'Count': tasks, 'Cpu': 14_000, 'EstimateMs': work_ms}],
         )
+        life = process.life
+        line = take_line(process)
         sent_s = time.monotonic()
         try:
-            status, _, body = ask(
-                process.front,
-                'POST',
-                f'/q{urgency}/{job_id}',
-                document,
-                platform_requests.headers(),
+            line.request(
+                'POST', path, json.dumps(document), platform_requests.headers()
             )
-        except OSError as error:
-            status, body = 0, str(error).encode()
-        at_s = time.monotonic()
+            answer = line.getresponse()
+            status, body = answer.status, answer.read()
+        except (OSError, client.HTTPException) as error:
+            status, body = 0, repr(error).encode()
+        ended_s = time.monotonic()
+        if status and line.sock is not None:
+            process.connections.append(line)
+        else:
+            line.close()
         self.answers.append(
-            (job_id, status, at_s - sent_s, body, process.name, at_s)
+            Answer(
+                job_id=job_id,
+                path=path,
+                tasks=tasks,
+                status=status,
+                body=body,
+                process=process.name,
+                life=life,
+                sent_s=sent_s,
+                ended_s=ended_s,
+            )
         )
         return status
 
@@ -205,6 +312,8 @@
 
     def stop(self):
         """End everything that was started here."""
+        if self.proxy is not None:
+            self.proxy.close()
         self.pool.shutdown(wait=True)
         for one in self.processes:
             if one.child.poll() is None:
--- a/features/support/platform_standin.py
+++ b/features/support/platform_standin.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import dataclasses
 import functools
 import json
 import sys
@@ -21,6 +22,10 @@
 
 HOST = '127.0.0.1'
 TASK_CPU = 14_000
+# A worker that has told that it leaves gets no work after this many seconds.
+DRAIN_S = 2
+# Each third worker has a clock that is as slow as the platform allows.
+SLOW_CLOCK = 0.98
 REASONS = types.MappingProxyType(
     {
         outcomes.Refusal.FENCED: 'fence',
@@ -44,6 +49,9 @@
         self.rows = {}
         self.version = 0
         self.is_away = False
+        self.delay_s = 0
+        self.loses_answers = False
+        self.oldest = 0
         self.waiting = []
         self.writes = 0
 
@@ -84,11 +92,27 @@
             '/guavaroad/rows-feed': self.feed,
             '/guavaroad/rows-tx': self.transact,
         }[path]
-        call(visit, fields)
+        if self.delay_s:
+            reactor.callLater(self.delay_s, call, visit, fields)
+        else:
+            call(visit, fields)
+
+    def reply(self, visit, status, document):
+        """Answer, unless answers are lost after what they answer was done."""
+        if not self.loses_answers:
+            reply(visit, status, document)
+
+    def change(self, *, away=False, delay_s=0, loses=False, forgets=False):
+        """Put faults on the store, or lift them when none is named."""
+        self.is_away = away
+        self.delay_s = delay_s
+        self.loses_answers = loses
+        if forgets:
+            self.oldest = self.version
 
     def answer(self, visit, names):
         """Answer with rows."""
-        reply(
+        self.reply(
             visit,
             200,
             {
@@ -113,6 +137,9 @@
     def feed(self, visit, fields):
         """Read what has changed, now or within a while."""
         after = int(fields['After'])
+        if after < self.oldest:
+            self.reply(visit, 410, {})
+            return
         names = [
             name
             for name, (_, version) in self.rows.items()
@@ -142,20 +169,22 @@
             present = self.rows.get(name, ('', 0))[1]
             if present != wanted['ApiVersion']:
                 rows = [self.row(name)] if name in self.rows else []
-                reply(visit, 412, {'rows': rows})
+                self.reply(visit, 412, {'rows': rows})
                 return
         for row in body['Put']:
             self.put(row['TableName'], row['part'], row['Key'], row['Value'])
-        reply(visit, 200, {'ApiVersion': self.version, 'NowMs': 0})
+        self.reply(visit, 200, {'ApiVersion': self.version, 'NowMs': 0})
 
 
 class WorkerDoor:
     """One worker behind HTTP."""
 
-    def __init__(self, *, one, book):
+    def __init__(self, *, one, book, entry):
         self.one = one
         self.book = book
+        self.entry = entry
         self.is_silent = False
+        self.twin = None
 
     def visit(self, visit):
         """Answer an order or a look."""
@@ -193,10 +222,21 @@
             token=token,
         )
         outcome = self.one.start(order)
+        if self.twin is not None:
+            self.twin.start(order)
+        self.note_draining(task)
         if self.one.faults.delay_orders_s:
             return
         self.answer(visit, outcome)
 
+    def note_draining(self, task):
+        """Note a start that came long after this worker began to leave."""
+        name = self.one.facts.worker_id
+        now_s = time.monotonic()
+        since_s = self.book.draining.get(name, now_s)
+        if now_s - since_s > DRAIN_S:
+            self.book.late_starts.append((name, task, since_s, now_s))
+
     def answer(self, visit, outcome):
         """Answer in the platform's words."""
         match outcome:
@@ -259,58 +299,114 @@
         """Add a worker, and its entry."""
         facts = pool_worker.facts_of(number, zone=zone)
         one = pool_worker.SimWorker(clock=reactor, facts=facts, book=self.book)
-        door = WorkerDoor(one=one, book=self.book)
+        if number % 3 == 0:
+            one.faults.clock_rate = SLOW_CLOCK
+        door = WorkerDoor(one=one, book=self.book, entry={})
         port = self.listen(door.visit)
+        door.entry = entry_of(facts, port)
         self.doors[facts.worker_id] = door
-        self.store.put_json(
-            'servers',
-            facts.worker_id,
-            {
-                'Service': 'pool',
-                'Address': f'{HOST}:{port}',
-                'Zone': zone,
-                'Version': 'v1',
-                'Slots': 8,
-                'State': 'ready',
-                'ColdLeftMs': 0,
-                'Capacity': {'Cpu': facts.capacity.cpu, 'MemMb': 1000},
-                'Labels': list(facts.labels),
-                'Sequence': 1,
-                'born': facts.born_ms,
-            },
+        self.list_worker(door)
+
+    def list_worker(self, door, **changes):
+        """Put the entry of a worker into the store."""
+        door.entry |= changes
+        name = door.one.facts.worker_id
+        self.store.put_json('servers', name, door.entry)
+
+    def restart_worker(self, door):
+        """Let a worker crash and come again under its id."""
+        door.one.crash()
+        born_ms = door.one.facts.born_ms + 1000
+        facts = dataclasses.replace(door.one.facts, born_ms=born_ms)
+        faults = door.one.faults
+        door.one = pool_worker.SimWorker(
+            clock=reactor, facts=facts, book=self.book
         )
+        door.one.faults = faults
+        self.list_worker(door, born=born_ms)
+
+    def drain_worker(self, door, *, is_told=True):
+        """Let a worker leave; it comes back when it is restarted."""
+        self.book.draining[door.one.facts.worker_id] = time.monotonic()
+        if is_told:
+            self.list_worker(door, State='draining')
+
+    def refill_worker(self, door):
+        """Let a worker that was leaving take work again."""
+        self.book.draining.pop(door.one.facts.worker_id, None)
+        self.restart_worker(door)
+        self.list_worker(door, State='ready')
 
     def control(self, visit):
         """Tell what was seen, or switch a fault."""
-        match visit.path:
+        wanted = json.loads(visit.body) if visit.body else None
+        reply(visit, 200, self.controlled(visit.path, wanted) or {})
+
+    def controlled(self, path, wanted):
+        """Do what was asked; return what is to be told."""
+        match path:
             case '/state':
-                reply(
-                    visit,
-                    200,
-                    {
-                        'starts': self.book.starts,
-                        'broken': self.book.broken,
-                        'writes': self.store.writes,
-                        'holder': self.holder(),
-                    },
-                )
+                return self.state()
+            case '/workers':
+                return self.worker_ports()
             case '/store':
-                self.store.is_away = json.loads(visit.body)['away']
-                reply(visit, 200, {})
+                self.store.change(**wanted)
+            case '/address':
+                door = self.doors[wanted['id']]
+                self.list_worker(door, Address=wanted['address'])
             case '/config':
-                self.store.put_json('op', 'config', json.loads(visit.body))
-                reply(visit, 200, {})
+                self.store.put_json('op', 'config', wanted)
             case '/entry':
                 name = f'strange-{self.store.version}'
-                self.store.put_json('servers', name, json.loads(visit.body))
-                reply(visit, 200, {})
+                self.store.put_json('servers', name, wanted)
             case '/worker':
-                wanted = json.loads(visit.body)
-                door = self.doors[wanted['id']]
-                door.is_silent = wanted.get('silent', False)
-                door.one.faults.fails = wanted.get('fails', False)
-                door.one.faults.hangs = wanted.get('hangs', False)
-                reply(visit, 200, {})
+                self.change_worker(wanted)
+        return None
+
+    def state(self):
+        """Return what was seen."""
+        return {
+            'starts': self.book.starts,
+            'done': sorted(self.book.done),
+            'late_starts': self.book.late_starts,
+            'broken': self.book.broken,
+            'writes': self.store.writes,
+            'holder': self.holder(),
+        }
+
+    def worker_ports(self):
+        """Return the port of each worker."""
+        return {
+            name: int(door.entry['Address'].rpartition(':')[2])
+            for name, door in self.doors.items()
+        }
+
+    def change_worker(self, wanted):
+        """Put faults on a worker, or lift them when none is named."""
+        door = self.doors[wanted['id']]
+        door.is_silent = wanted.get('silent', False)
+        faults = door.one.faults
+        faults.fails = wanted.get('fails', False)
+        faults.hangs = wanted.get('hangs', False)
+        faults.pace = wanted.get('pace', 1)
+        twin = self.doors.get(wanted.get('twin'))
+        door.twin = twin and twin.one
+        self.change_life(door, wanted.get('life'))
+
+    def change_life(self, door, change):
+        """Let a worker crash, leave or come back."""
+        match change:
+            case 'restart':
+                self.restart_worker(door)
+            case 'drain':
+                self.drain_worker(door)
+            case 'drain unsaid':
+                self.drain_worker(door, is_told=False)
+            case 'refill':
+                self.refill_worker(door)
+            case 'overstate':
+                capacity = {'Cpu': 4 * door.one.facts.capacity.cpu}
+                self.list_worker(door, Capacity=capacity | {'MemMb': 1000})
 
     def holder(self):
         """Return the row that names the allocator."""
@@ -320,6 +416,23 @@
         return None
 
 
+def entry_of(facts, port):
+    """Return what a worker writes of itself."""
+    return {
+        'Service': 'pool',
+        'Address': f'{HOST}:{port}',
+        'Zone': facts.zone,
+        'Version': 'v1',
+        'Slots': 8,
+        'State': 'ready',
+        'ColdLeftMs': 0,
+        'Capacity': {'Cpu': facts.capacity.cpu, 'MemMb': 1000},
+        'Labels': list(facts.labels),
+        'Sequence': 1,
+        'born': facts.born_ms,
+    }
+
+
 def main():
     """Serve, and print the ports of the store and of the control page."""
     workers, zones = int(sys.argv[1]), sys.argv[2].split(',')
--- a/standins/src/guavaroad_standins/pool_worker.py
+++ b/standins/src/guavaroad_standins/pool_worker.py
@@ -58,6 +58,9 @@
         broken: What went wrong.
         cpu: Room that each task needs, by name.
         work_s: How long each task takes, by name.
+        done: Tasks that have ended well.
+        draining: Since when workers are leaving, by id.
+        late_starts: Starts too long after that: worker, task, since, when.
     """
 
     starts: list[tuple[str, int, str]] = dataclasses.field(default_factory=list)
@@ -65,6 +68,11 @@
     broken: list[str] = dataclasses.field(default_factory=list)
     cpu: dict[str, int] = dataclasses.field(default_factory=dict)
     work_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    done: set[str] = dataclasses.field(default_factory=set)
+    draining: dict[str, float] = dataclasses.field(default_factory=dict)
+    late_starts: list[tuple[str, str, float, float]] = dataclasses.field(
+        default_factory=list
+    )
 
     def started(
         self,
@@ -91,6 +99,7 @@
         delay_orders_s: Orders get no answer and are carried out so late.
         lost_share: Share of the calls that get no answer and are carried out
             seconds later.
+        clock_rate: Seconds on its clock for each second.
     """
 
     pace: float = 1
@@ -98,6 +107,7 @@
     hangs: bool = False
     delay_orders_s: float = 0
     lost_share: float = 0
+    clock_rate: float = 1
 
     def work_s(self, usual_s: float) -> float:
         """Return how long a run takes."""
@@ -135,7 +145,7 @@
 
     def clock_ms(self) -> int:
         """Return its clock."""
-        return int(self.clock.seconds() * MS_PER_S)
+        return int(self.clock.seconds() * self.faults.clock_rate * MS_PER_S)
 
     def start(self, order: pool.StartOrder) -> outcomes.OrderOutcome:
         """Start a task, unless there is a reason not to."""
@@ -193,6 +203,8 @@
         if run.timer.active():
             run.timer.cancel()
         self.book.running[task] -= 1
+        if kind is values.EndKind.DONE:
+            self.book.done.add(task)
         self.position += 1
         self.stopped[task] = max(number, self.stopped.get(task, number))
         self.ended.append(
@@ -226,7 +238,8 @@
         self.until_ms = until_ms
         if self.lease_timer is not None and self.lease_timer.active():
             self.lease_timer.cancel()
-        left_s = until_ms / MS_PER_S - self.clock.seconds()
+        left_s = until_ms / MS_PER_S / self.faults.clock_rate
+        left_s -= self.clock.seconds()
         self.lease_timer = self.clock.callLater(max(left_s, 0), self.lapse)
 
     def lapse(self) -> None:
