Drop lists of a worker's earlier life; one module for units

Its list, with an older start, was taken for a third life: all that ran was taken for over and started anew while the second life still ran it. Change: a list with an older start that was asked for before the present life was heard of is dropped. Test: 'A list of an earlier life that comes late changes nothing' (two runs of two tasks before).

--- a/features/pool/workers.feature
+++ b/features/pool/workers.feature
@@ -53,6 +53,22 @@
     Then at least 97 of 100 jobs are complete
     And no promise is broken
 
+  Scenario Outline: A list of an earlier life that comes <ms> ms late changes nothing
+    # Soak seed 15, TWICE: the list was taken for that of a third life, in which
+    # nothing of the second one runs.
+    When 2 s pass in the pool
+    And worker "w1" begins another life, and a list of the one before comes <ms> ms later
+    And 0.5 s of 60 jobs a second of 3 tasks of 600 ms pass
+    And 3 s pass in the pool
+    Then no promise is broken
+
+    Examples:
+      | ms  |
+      | 50  |
+      | 100 |
+      | 200 |
+      | 350 |
+
   Scenario: A worker that drains gets no new task
     When 2 s pass in the pool
     And worker "w1" drains
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -6,7 +6,11 @@
     Examples:
       | seed |
       | 1    |
+      | 14   |
+      | 15   |
       | 17   |
+    # Seed 14: a reload signal ended a process that was only starting.
+    # Seed 15: two runs at once, by a list of a worker's earlier life.
     # Seed 17 once said "not run" of a job that had run: a paused owner was
     # followed again by an allocator that had let go of its jobs.
 
--- a/features/steps/pool_steps.py
+++ b/features/steps/pool_steps.py
@@ -525,6 +525,28 @@
     pool.list_workers()
 
 
+@behave.when(
+    'worker "{name}" begins another life, and a list of the one before comes {ms:d} ms later'
+)
+def when_old_list(context, name, ms):
+    pool = context.pool
+    holder = pool.holder().node.holder
+    report = pool.workers[name].report()
+    sent_s = pool.clock.seconds()
+    when_reborn(context, name)
+    pool.clock.callLater(ms / 1000, take_list, holder, name, report, sent_s)
+    pool.load(ms / 1000, 60, tasks=3, work_ms=600)
+
+
+def take_list(holder, name, report, sent_s):
+    holder.machine.lists.looked(
+        worker_id=values.WorkerId(name),
+        report=report,
+        sent_s=sent_s,
+        now_s=holder.outside.timers.now(),
+    )
+
+
 def values_with_life(facts):
     changed = {name: getattr(facts, name) for name in type(facts).__slots__}
     changed['born_ms'] = facts.born_ms + 1000
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -181,8 +181,10 @@
     """Return an open connection to a process, or a new one."""
     while process.connections:
         line = process.connections.pop()
-        has_ended = select.select([line.sock], [], [], 0)[0]
-        if not has_ended:
+        # Unlike `select`, it takes descriptors of any number.
+        ready = select.poll()
+        ready.register(line.sock, select.POLLIN)
+        if not ready.poll(0):
             return line
         line.close()
     return client.HTTPConnection(*process.front, timeout=ASK_TIMEOUT_S)
@@ -194,6 +196,8 @@
     Attributes:
         proxy: Stands between all of them, if there is one.
         worker_routes: Proxied ways to the workers, by id.
+        answers: What clients were told.
+        sendings: Clients that hand a job in, or have.
     """
 
     def __init__(
@@ -227,6 +231,7 @@
         ]
         self.pool = futures.ThreadPoolExecutor(max_workers=CLIENTS)
         self.answers = []
+        self.sendings = []
         self.count = 0
 
     def lead_to_workers(self):
@@ -267,9 +272,11 @@
         self.count += 1
         job_id = job or f'{self.count:016x}'
         path = f'/{queue or f"q{urgency}"}/{job_id}'
-        return self.pool.submit(
+        sending = self.pool.submit(
             self.hand_in, process, job_id, path, tasks, work_ms
         )
+        self.sendings.append(sending)
+        return sending
 
     def hand_in(self, process, job_id, path, tasks, work_ms):
         """Hand a job in on an open connection, and keep its answer."""
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -166,9 +166,8 @@
                 versions=self.versions,
             )
         )
-        if len(fleet.answers) < fleet.count:
-            found.append('requests without an end')
-        return found + self.not_served()
+        found.extend(map(unanswered, fleet.sendings))
+        return [*filter(None, found), *self.not_served()]
 
     def not_served(self):
         """Return which processes do not serve when all is well again.
@@ -192,3 +191,11 @@
     """End a disruption by some action, and note when."""
     action()
     noted.ended_s = time.monotonic()
+
+
+def unanswered(sending):
+    """Return why a client has kept no answer; empty if it has."""
+    if not sending.done():
+        return 'a request without an end'
+    error = sending.exception()
+    return f'a client failed: {error!r}' if error else ''
--- a/packages/guavaroad/src/guavaroad/domain/pool/admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/admission.py
@@ -9,6 +9,8 @@
 import math
 from typing import Final
 
+from guavaroad.domain import units
+
 # Share of the client's time that a job may wait without a start: later than
 # half of it a refusal is worth nothing to the client.
 PATIENCE_SHARE: Final = 0.42
@@ -26,7 +28,6 @@
 BEGUN_SHARE: Final = 0.6
 # Time that answers take on their way, in seconds.
 ANSWER_WAY_S: Final = 0.1
-MS_PER_S: Final = 1000
 # A hint beyond this says nothing about the queue, in milliseconds.
 LONGEST_HINT_MS: Final = 10_000
 SHORTEST_HINT_MS: Final = 500
@@ -119,5 +120,5 @@
 
 def retry_after_ms(wait_s: float) -> int:
     """Return when work like it may find room, in milliseconds."""
-    hint_ms = min(wait_s * MS_PER_S, LONGEST_HINT_MS)
+    hint_ms = min(wait_s * units.MS_PER_S, LONGEST_HINT_MS)
     return max(int(hint_ms), SHORTEST_HINT_MS)
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
@@ -5,10 +5,10 @@
 
 from collections.abc import Iterable
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import (
     actions,
     intake,
-    leases,
     ledger,
     orphans,
     placing,
@@ -96,7 +96,7 @@
                 'worker_lapsed',
                 worker=one.facts.worker_id,
                 runs=len(one.runs),
-                silent_ms=int((now_s - one.looked_s) * leases.MS_PER_S),
+                silent_ms=units.to_ms(now_s - one.looked_s),
             )
             self.runs.lapse(one, now_s)
         stragglers.check(self.runs, one, now_s)
--- a/packages/guavaroad/src/guavaroad/domain/pool/declared_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/declared_jobs.py
@@ -2,10 +2,9 @@
 
 from typing import Final
 
-from guavaroad.domain import names
+from guavaroad.domain import names, units
 from guavaroad.domain.pool import admission, messages, values, work
 
-MS_PER_S: Final = 1000
 # A longer wait is told as this one, in seconds.
 LONGEST_TOLD_S: Final = 99
 
@@ -20,9 +19,9 @@
         declared: What the owner says.
         now_s: Time.
     """
-    arrived_s = now_s - declared.age_ms / MS_PER_S
-    patience_s = declared.patience_ms / MS_PER_S
-    estimate_s = declared.estimate_ms / MS_PER_S
+    arrived_s = now_s - declared.age_ms / units.MS_PER_S
+    patience_s = declared.patience_ms / units.MS_PER_S
+    estimate_s = declared.estimate_ms / units.MS_PER_S
     job = work.Job(
         job_id=declared.job,
         owner=owner,
@@ -32,12 +31,12 @@
         payload=declared.payload,
         estimate_s=estimate_s,
         arrived_s=arrived_s,
-        aim_s=arrived_s + declared.aim_ms / MS_PER_S,
+        aim_s=arrived_s + declared.aim_ms / units.MS_PER_S,
         give_up_s=admission.latest_start_s(
             arrived_s=arrived_s,
             patience_s=patience_s,
             estimate_s=estimate_s,
-            aim_s=declared.aim_ms / MS_PER_S,
+            aim_s=declared.aim_ms / units.MS_PER_S,
         ),
         answer_by_s=arrived_s + patience_s,
         begun=any(told.run for told in declared.tasks),
@@ -58,7 +57,7 @@
     job: work.Job, index: int, told: messages.DeclaredTask
 ) -> work.Task:
     """Return one task of a declared job."""
-    declared_ms = job.estimate_s * MS_PER_S
+    declared_ms = job.estimate_s * units.MS_PER_S
     return work.Task(
         job=job,
         index=index,
@@ -70,7 +69,7 @@
         done=told.done,
         failures=told.failures,
         step=told.step,
-        estimate_s=(told.estimate_ms or declared_ms) / MS_PER_S,
+        estimate_s=(told.estimate_ms or declared_ms) / units.MS_PER_S,
         constraint=told.constraint,
     )
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/intake.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/intake.py
@@ -161,11 +161,7 @@
         ahead_core_s = pool.backlog.core_s_ahead(job.urgency)
         if not ahead_core_s:
             return False
-        wait_s = admission.expected_wait_s(
-            ahead_core_s=ahead_core_s,
-            cores=pool.room.cores(now_s),
-            rate_before=pool.rates.before(job.urgency),
-        )
+        wait_s = self.expected_wait_s(job, now_s)
         if now_s + wait_s <= job.give_up_s:
             return False
         self.runs.give_up(
@@ -185,16 +181,20 @@
 
     def hint_ms(self, job: work.Job, now_s: float) -> int:
         """Return when work like a job may find room, with jitter."""
+        wait_s = self.expected_wait_s(job, now_s)
+        # Clients that were refused together come back apart.
+        return admission.retry_after_ms(
+            wait_s * self.state.random.uniform(1, 2)
+        )
+
+    def expected_wait_s(self, job: work.Job, now_s: float) -> float:
+        """Return how long a job would wait for room, in seconds."""
         pool = self.state.pool(job.pool)
-        wait_s = admission.expected_wait_s(
+        return admission.expected_wait_s(
             ahead_core_s=pool.backlog.core_s_ahead(job.urgency),
             cores=pool.room.cores(now_s),
             rate_before=pool.rates.before(job.urgency),
         )
-        # Clients that were refused together come back apart.
-        return admission.retry_after_ms(
-            wait_s * self.state.random.uniform(1, 2)
-        )
 
     def place_declared(
         self, task: work.Task, told: messages.DeclaredTask, now_s: float
--- a/packages/guavaroad/src/guavaroad/domain/pool/leases.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/leases.py
@@ -3,7 +3,8 @@
 import dataclasses
 from typing import Final
 
-MS_PER_S: Final = 1000
+from guavaroad.domain import units
+
 # Workers cut longer leases to their maximum of 1 s; the rest is for the way.
 LEASE_MS: Final = 900
 # A worker's clock may run 2 % slow by the platform's page.
@@ -46,8 +47,8 @@
 
     def extend(self, now_s: float) -> int:
         """Return the worker's time to run until, sent with the next order."""
-        elapsed_ms = (now_s - self.clock_read_s) * MS_PER_S
+        elapsed_ms = (now_s - self.clock_read_s) * units.MS_PER_S
         until_ms = int(self.clock_ms + elapsed_ms) + LEASE_MS
-        left_s = (until_ms - self.clock_ms) / MS_PER_S * SLOWEST_CLOCK
+        left_s = (until_ms - self.clock_ms) / units.MS_PER_S * SLOWEST_CLOCK
         self.ends_s = max(self.ends_s, self.clock_read_s + left_s)
         return until_ms
--- a/packages/guavaroad/src/guavaroad/domain/pool/ledger.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/ledger.py
@@ -3,13 +3,12 @@
 import dataclasses
 import random
 
-from guavaroad.domain import names
+from guavaroad.domain import names, units
 from guavaroad.domain.pool import (
     actions,
     admission,
     backlog,
     closed_jobs,
-    leases,
     messages,
     placement,
     reserve,
@@ -111,7 +110,7 @@
             reason=reason,
             failures=one.standing.failures,
             pace=round(one.standing.pace, 2),
-            pause_ms=int((one.standing.out_until_s - now_s) * leases.MS_PER_S),
+            pause_ms=units.to_ms(one.standing.out_until_s - now_s),
         )
 
     def pool(self, name: names.PoolName) -> PoolState:
--- a/packages/guavaroad/src/guavaroad/domain/pool/messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/messages.py
@@ -71,16 +71,6 @@
     again: bool = False
 
 
-class AllDeclared(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """The owner has declared every open job.
-
-    Attributes:
-        count: How many.
-    """
-
-    count: int
-
-
 class Withdraw(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """The owner gives a job up.
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
@@ -6,13 +6,11 @@
 
 import dataclasses
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any
 
-from guavaroad.domain import names
+from guavaroad.domain import names, units
 from guavaroad.domain.pool import constraints, messages, values
 
-MS_PER_S: Final = 1000
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TaskRequest:
@@ -133,7 +131,6 @@
         declared: Whether the present allocator was told of it.
         was_declared: Whether any allocator was told of it.
         in_doubt: Whether a lost allocator may have started tasks of it.
-        withdrawn: Whether it was given up here.
         history: Decisions so far, for the log of a failure.
         timers: Pending calls to cancel when it ends.
     """
@@ -146,7 +143,6 @@
     declared: bool = False
     was_declared: bool = False
     in_doubt: bool = False
-    withdrawn: bool = False
     history: list[str] = dataclasses.field(default_factory=list)
     timers: list[Any] = dataclasses.field(default_factory=list)
 
@@ -156,7 +152,7 @@
 
     def age_ms(self, now_s: float) -> int:
         """Return how long it has been here, in milliseconds."""
-        return int((now_s - self.arrived_s) * MS_PER_S)
+        return units.to_ms(now_s - self.arrived_s)
 
     def note(self, event: str, age_ms: int, detail: object = '') -> None:
         """Add a decision to its history."""
--- a/packages/guavaroad/src/guavaroad/domain/pool/peer_messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/peer_messages.py
@@ -166,6 +166,5 @@
     | SharedWorkers
     | PollAnswer
     | messages.Declare
-    | messages.AllDeclared
     | messages.Withdraw
 )
--- a/packages/guavaroad/src/guavaroad/domain/pool/placing.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placing.py
@@ -6,9 +6,9 @@
 
 from typing import Final
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import (
     actions,
-    admission,
     ledger,
     messages,
     values,
@@ -114,7 +114,7 @@
             'placed',
             job=job.job_id,
             urgency=job.urgency,
-            waited_ms=int((now_s - job.arrived_s) * admission.MS_PER_S),
+            waited_ms=units.to_ms(now_s - job.arrived_s),
             in_aim=now_s <= job.aim_s,
             starts=[
                 f'{index}.{number}@{worker_id}'
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_book.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_book.py
@@ -28,6 +28,8 @@
 # A worker that no list names, and that does not answer, is forgotten after
 # this many seconds.
 FORGET_S: Final = 3
+# A shorter estimate, in seconds, would make every run look slow: they are rough.
+MIN_ESTIMATE_S: Final = 0.02
 
 
 class RunBook:
@@ -285,7 +287,3 @@
             worker=one.facts.worker_id,
             percent=run.percent,
         )
-
-
-# Estimates are rough; a shorter one would make every run look slow.
-MIN_ESTIMATE_S: Final = 0.02
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_lists.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_lists.py
@@ -1,8 +1,8 @@
 """Lists of workers compared with what is booked on them."""
 
 import dataclasses
-from typing import Final
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import (
     ledger,
     messages,
@@ -13,8 +13,6 @@
     worker,
 )
 
-MS_PER_S: Final = 1000
-
 
 class RunLists:
     """Takes looks at workers.
@@ -45,7 +43,7 @@
             now_s: Time.
         """
         one = self.state.workers.get(worker_id)
-        if one is None:
+        if one is None or one.is_from_before(report.born_ms, sent_s):
             return
         if report.born_ms and report.born_ms != one.facts.born_ms:
             self.life_changed(one, report.born_ms, now_s)
@@ -55,7 +53,7 @@
             self.state.note(
                 'worker_back',
                 worker=worker_id,
-                silent_ms=int((now_s - one.looked_s) * MS_PER_S),
+                silent_ms=units.to_ms(now_s - one.looked_s),
                 listed=len(report.running),
             )
         one.looked_s = max(one.looked_s, sent_s)
@@ -193,5 +191,6 @@
             self.runs.lapse(one, now_s)
         one.last_end = 0
         one.listed_ms = -1
+        one.life_s = now_s
         one.standing = standings.Standing()
         one.facts = dataclasses.replace(one.facts, born_ms=born_ms)
--- a/packages/guavaroad/src/guavaroad/domain/pool/succession.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/succession.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from guavaroad.domain import names
+from guavaroad.domain import names, units
 from guavaroad.domain.pool import peer_messages, values
 
 # An allocator that says nothing this long is taken for lost, in seconds:
@@ -22,7 +22,6 @@
 # heartbeats and a half. Each of them hears it last at another moment, so that
 # the silence above would keep the first candidate from claiming.
 ALIVE_S: Final = 0.25
-MS_PER_S: Final = 1000
 # Pause between the candidates' turns, in seconds: a poll and a claim take
 # less while the store is well.
 TURN_S: Final = 0.15
@@ -164,7 +163,7 @@
     """
     if answer.heard_ago_ms < 0 or answer.token < reign.token:
         return False
-    heard_s = answer.heard_ago_ms / MS_PER_S
+    heard_s = answer.heard_ago_ms / units.MS_PER_S
     return answer.token > reign.token or heard_s < ALIVE_S
 
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -75,6 +75,7 @@
         poked_s: When it was last looked at beside the look that waits.
         cleared_s: When its strangers were last ordered to stop.
         unlisted_s: When it was missing from the list; none if it is there.
+        life_s: When this life was first heard of.
     """
 
     facts: Facts
@@ -97,6 +98,16 @@
     listed_ms: int = -1
     cleared_s: float = 0
     unlisted_s: float | None = None
+    life_s: float = 0
+
+    def is_from_before(self, born_ms: int, sent_s: float) -> bool:
+        """Return whether a list is of a life that is over.
+
+        Args:
+            born_ms: Start of the life that it is of; 0 if unknown.
+            sent_s: When it was asked for.
+        """
+        return 0 < born_ms < self.facts.born_ms and sent_s <= self.life_s
 
     def is_extendable(self) -> bool:
         """Return whether the lease of all that runs may be extended.
--- a/packages/guavaroad/src/guavaroad/services/pool/following.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/following.py
@@ -2,8 +2,9 @@
 
 import dataclasses
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import messages, peer_messages, succession
 from guavaroad.ports import pool, timers
 from guavaroad.services.pool import (
@@ -15,8 +16,6 @@
     owner_desk,
 )
 
-MS_PER_S: Final = 1000
-
 
 class Following:
     """The link to the allocator.
@@ -83,7 +82,7 @@
         heard_ago_ms = -1
         if self.link is not None:
             ago_s = self.timers.now() - self.heard_s
-            heard_ago_ms = int(ago_s * MS_PER_S)
+            heard_ago_ms = units.to_ms(ago_s)
         return peer_messages.PollAnswer(
             token=self.reign.token, heard_ago_ms=heard_ago_ms
         )
@@ -158,7 +157,7 @@
                 'allocator_silent',
                 token=self.reign.token,
                 holder=self.reign.holder,
-                silent_ms=int((self.timers.now() - self.heard_s) * MS_PER_S),
+                silent_ms=units.to_ms(self.timers.now() - self.heard_s),
             )
             link = self.link
             self.link_lost(link)
--- a/packages/guavaroad/src/guavaroad/services/pool/holder.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/holder.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import (
     actions,
     allocator,
@@ -32,7 +33,6 @@
 LIST_S: Final = 0.5
 # Period of reading the directory of instances, in seconds.
 DIRECTORY_S: Final = 1
-MS_PER_S: Final = 1000
 
 
 class Holder:
@@ -221,7 +221,7 @@
         age_s = self.outside.timers.now() - self.listings.listed_s
         return peer_messages.AllocatorBeat(
             config_version=self.configuration.version(),
-            list_age_ms=int(age_s * MS_PER_S),
+            list_age_ms=units.to_ms(age_s),
         )
 
     def schedule(self) -> None:
--- a/packages/guavaroad/src/guavaroad/services/pool/looks.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/looks.py
@@ -125,10 +125,8 @@
         outcome: outcomes.Report | outcomes.Refused | outcomes.NoAnswer,
     ) -> None:
         """Take the outcome of a look beside the waiting one."""
-        if watch.ended or not isinstance(outcome, outcomes.Report):
-            return
-        self.take(watch, sent_s, outcome)
-        if outcome.ended and not watch.fresh:
+        has_ends = self.seen_late(watch, sent_s, outcome)
+        if has_ends and not watch.fresh:
             # The waiting look had these ends to tell; its answer is lost.
             self.look(watch)
 
@@ -137,10 +135,16 @@
         watch: Watch,
         sent_s: float,
         outcome: outcomes.Report | outcomes.Refused | outcomes.NoAnswer,
-    ) -> None:
-        """Take the outcome of a look that another has replaced."""
-        if not watch.ended and isinstance(outcome, outcomes.Report):
-            self.take(watch, sent_s, outcome)
+    ) -> bool:
+        """Take the outcome of a look that is not the waiting one.
+
+        Returns:
+            Whether it lists ends.
+        """
+        if watch.ended or not isinstance(outcome, outcomes.Report):
+            return False
+        self.take(watch, sent_s, outcome)
+        return bool(outcome.ended)
 
     def take(
         self, watch: Watch, sent_s: float, report: outcomes.Report
--- a/packages/guavaroad/src/guavaroad/services/pool/node.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/node.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import defer
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import (
     open_jobs,
     peer_messages,
@@ -32,7 +33,6 @@
 # An instance stays in rotation this long without an allocator, in seconds: a
 # takeover takes less.
 UNLED_READY_S: Final = 1.2
-MS_PER_S: Final = 1000
 # Run times over their estimates, at the most: these are off by 40 %, on workers
 # that are 30 % slower.
 RUN_SPREAD: Final = 1.8
@@ -192,7 +192,7 @@
             return True
         left_s = self.last_s - self.timers.now()
         likely_ms = request.estimate_ms * RUN_SPREAD + request.aim_ms
-        return likely_ms / MS_PER_S < left_s
+        return likely_ms / units.MS_PER_S < left_s
 
     def stop(self, *, last_s: float) -> None:
         """Hand the allocation over, and take no new connections.
--- a/packages/guavaroad/src/guavaroad/services/pool/owner_desk.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/owner_desk.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Final, Protocol
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import messages, open_jobs, peer_messages, values
 from guavaroad.ports import timers
 from guavaroad.services.pool import journal
@@ -15,7 +16,6 @@
 # A job that no allocator was told of is refused after this share of the
 # client's time: a takeover takes about half a second.
 UNDECLARED_SHARE: Final = 0.42
-MS_PER_S: Final = 1000
 
 
 class Sender(Protocol):
@@ -85,7 +85,7 @@
         """Do something with a job if it is still open after a time."""
         job.timers.append(
             self.timers.call_after(
-                max(delay_ms, 0) / MS_PER_S, lambda: action(job)
+                max(delay_ms, 0) / units.MS_PER_S, lambda: action(job)
             )
         )
 
@@ -103,7 +103,6 @@
 
     def withdraw(self, job: open_jobs.OpenJob) -> None:
         """Give a job up whose client will not wait much longer."""
-        job.withdrawn = True
         if job.declared and self.link is not None:
             self.link.send(messages.Withdraw(job=job.request.job_id))
         elif not job.was_declared and not job.begun():
@@ -136,7 +135,6 @@
         for job in self.jobs.values():
             job.in_doubt = job.in_doubt or (job.was_declared and not knows)
             self.declare(job)
-        link.send(messages.AllDeclared(count=len(self.jobs)))
 
     def unlinked(self) -> None:
         """Note that the allocator is lost."""
--- a/packages/guavaroadctl/src/guavaroadctl/explain.py
+++ b/packages/guavaroadctl/src/guavaroadctl/explain.py
@@ -14,11 +14,11 @@
 
 import msgspec
 
+from guavaroad.domain import units
 from guavaroadctl import exit_codes, reports, sources
 
 # Lines of one request that are kept; a request has a few dozen.
 MOST_KEPT: Final = 2000
-MS_PER_S: Final = 1000
 _LINE_START: Final = b'{"time"'
 _HIDDEN: Final = frozenset(('time', 'process', 'event', 'job'))
 _ENDS: Final = frozenset(('job_failed', 'request_refused', 'job_completed'))
@@ -56,7 +56,7 @@
 
     def text(self, first_s: float) -> str:
         """Return the line as it is shown, timed from the first one."""
-        since_ms = round((self.time_s - first_s) * MS_PER_S)
+        since_ms = round((self.time_s - first_s) * units.MS_PER_S)
         shown = [name for name in self.fields if name not in _HIDDEN]
         given = [f'{name}={self.fields[name]}' for name in shown]
         return '  '.join((f'{since_ms} ms', self.process, self.event, *given))
--- a/standins/src/guavaroad_standins/pool_worker.py
+++ b/standins/src/guavaroad_standins/pool_worker.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from guavaroad.domain import names
+from guavaroad.domain import names, units
 from guavaroad.domain.pool import outcomes, values, worker
 from guavaroad.ports import pool
 
@@ -28,7 +28,6 @@
 MEMORY_MB: Final = 128_000
 PERCENT: Final = 100
 MOST_PERCENT: Final = 99
-MS_PER_S: Final = 1000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -145,7 +144,7 @@
 
     def clock_ms(self) -> int:
         """Return its clock."""
-        return int(self.clock.seconds() * self.faults.clock_rate * MS_PER_S)
+        return units.to_ms(self.clock.seconds() * self.faults.clock_rate)
 
     def start(self, order: pool.StartOrder) -> outcomes.OrderOutcome:
         """Start a task, unless there is a reason not to."""
@@ -238,7 +237,7 @@
         self.until_ms = until_ms
         if self.lease_timer is not None and self.lease_timer.active():
             self.lease_timer.cancel()
-        left_s = until_ms / MS_PER_S / self.faults.clock_rate
+        left_s = until_ms / units.MS_PER_S / self.faults.clock_rate
         left_s -= self.clock.seconds()
         self.lease_timer = self.clock.callLater(max(left_s, 0), self.lapse)
 
@@ -259,7 +258,7 @@
         if self.ended or not look.wait_ms:
             answer(self.report())
             return
-        self.wait(look.wait_ms / MS_PER_S, answer)
+        self.wait(look.wait_ms / units.MS_PER_S, answer)
 
     def wait(self, wait_s: float, answer: Callable[[Any], object]) -> None:
         """Answer when something ends, or the time is up."""
@@ -372,7 +371,7 @@
         self.looks += 1
         answer = _Once(on_outcome)
         timeout = outcomes.NoAnswer(detail='no answer in time')
-        wait_s = look.wait_ms / MS_PER_S
+        wait_s = look.wait_ms / units.MS_PER_S
         self.clock.callLater(wait_s + LOOK_EXTRA_S, answer, timeout)
         one = self.workers[worker_id]
         self.clock.callLater(LATENCY_S, self.deliver_look, one, look, answer)
