--- a/packages/guavaroad/src/guavaroad/domain/pool/run_book.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_book.py
@@ -28,7 +28,7 @@
 # A worker that no list names, and that does not answer, is forgotten after
 # this many seconds.
 FORGET_S: Final = 3
-# A shorter estimate, in seconds, would make every run look slow: they are rough.
+# Estimates are rough; a shorter one would make every run look slow, in seconds.
 MIN_ESTIMATE_S: Final = 0.02
 
 
