Serve metrics on the port that the deploy file names, with times of waits and silences

Histograms of the time that jobs waited until placed, and of the age of what was known of who was lost or came back, beside those of answers. Tests: the metrics page of a real process; a process whose port is taken.

--- a/features/platform/processes.feature
+++ b/features/platform/processes.feature
@@ -60,3 +60,12 @@
     # Soak seed 14: SIGHUP came before the program took signals.
     When a process is killed, starts again and gets a reload signal within 250 ms
     Then it serves within 10 s
+
+  Scenario: Counters and latency histograms are served on the metrics port
+    When 20 jobs of 2 tasks of 50 ms are sent to the processes in turn
+    Then the metrics of a process count jobs and times
+
+  Scenario: A metrics port that is taken keeps no process from serving
+    When a process starts whose metrics port is taken
+    Then it serves within 10 s
+    And its log says "metrics_unserved"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -225,3 +225,33 @@
 @behave.then('it serves within {seconds:d} s')
 def then_serves(context, seconds):
     context.fleet.wait_ready(limit_s=seconds)
+
+
+@behave.then('the metrics of a process count jobs and times')
+def then_counted(context):
+    one = context.fleet.processes[0]
+    status, _, page = platform_fleet.ask(
+        (one.ip, platform_fleet.METRICS_PORT), 'GET', '/metrics'
+    )
+    assert status == 200, status
+    text = page.decode()
+    assert 'guavaroad_decisions_total' in text, text
+    assert 'guavaroad_job_seconds_bucket' in text, text
+
+
+@behave.when('a process starts whose metrics port is taken')
+def when_port_taken(context):
+    fleet = context.fleet
+    ip = next(platform_fleet.ADDRESSES)
+    holder = socket.create_server((ip, platform_fleet.METRICS_PORT))
+    context.add_cleanup(holder.close)
+    context.struck = platform_fleet.Process(
+        fleet=fleet, name='i9', zone='a', ip=ip
+    )
+    fleet.processes.append(context.struck)
+
+
+@behave.then('its log says "{event}"')
+def then_said(context, event):
+    said = [line['event'] for line in context.struck.lines()]
+    assert event in said, said
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -39,6 +39,8 @@
 PROXIED = 1000
 # Clients at once: those of two processes that stand still wait 10 s each.
 CLIENTS = 200
+METRICS_PORT = 19105
+METRICS_PORT_VARIABLE = 'GUAVAROAD_METRICS_PORT'
 PEER_ADDRESS_VARIABLE = 'GUAVAROAD_PEER_ADDRESS'
 
 
@@ -103,16 +105,16 @@
         connections: Open connections of clients that wait for nothing.
     """
 
-    def __init__(self, *, fleet, name, zone):
+    def __init__(self, *, fleet, name, zone, ip=None):
         self.fleet = fleet
         self.name = name
         self.zone = zone
-        self.ip = next(ADDRESSES)
+        self.ip = ip or next(ADDRESSES)
         self.front = (self.ip, FRONT_PORT)
         self.ready = (self.ip, READY_PORT)
         self.routes = {}
         self.connections = []
-        self.environment = {}
+        self.environment = {METRICS_PORT_VARIABLE: str(METRICS_PORT)}
         store = (HOST, fleet.store_port)
         if fleet.proxy is not None:
             store = self.proxied('store', (self.ip, 23009), store)
--- a/features/support/pool_worlds.py
+++ b/features/support/pool_worlds.py
@@ -35,7 +35,7 @@
         """Keep a line."""
         self.lines.append((event, fields))
 
-    def event(self, event):
+    def event(self, event, _):
         """Count an event."""
         self.counts[event] += 1
 
--- a/packages/guavaroad/src/guavaroad/adapters/pool_metrics.py
+++ b/packages/guavaroad/src/guavaroad/adapters/pool_metrics.py
@@ -1,9 +1,13 @@
 """Counters and latency histograms of the worker pool."""
 
+import types
+from collections.abc import Mapping
 from typing import Final
 
 import prometheus_client
 
+from guavaroad.domain import units
+
 # From the shortest task to the longest wait of a client, in seconds.
 LATENCY_BUCKETS: Final = (
     0.02,
@@ -22,6 +26,21 @@
 )
 
 
+# Fields of decisions that are times, with the histogram of each.
+TIMES: Final = types.MappingProxyType(
+    {
+        'waited_ms': (
+            'guavaroad_queue_seconds',
+            'Time that a job waited until tasks of it were placed.',
+        ),
+        'silent_ms': (
+            'guavaroad_silence_seconds',
+            'Age of what was known of who was lost, or came back.',
+        ),
+    }
+)
+
+
 class PoolMetrics:
     """Implements `journal.Counters` with prometheus_client."""
 
@@ -40,10 +59,24 @@
             buckets=LATENCY_BUCKETS,
             registry=self.registry,
         )
+        self.times = {
+            field: prometheus_client.Histogram(
+                name,
+                told,
+                ['event'],
+                buckets=LATENCY_BUCKETS,
+                registry=self.registry,
+            )
+            for field, (name, told) in TIMES.items()
+        }
 
-    def event(self, event: str) -> None:
-        """Count a decision."""
+    def event(self, event: str, fields: Mapping[str, object]) -> None:
+        """Count a decision, and the times among its fields."""
         self.events.labels(event).inc()
+        for field, histogram in self.times.items():
+            told_ms = fields.get(field)
+            if isinstance(told_ms, int):
+                histogram.labels(event).observe(told_ms / units.MS_PER_S)
 
     def job_ended(self, outcome: str, reason: str, seconds: float) -> None:
         """Count an answered job."""
--- a/packages/guavaroad/src/guavaroad/services/pool/journal.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/journal.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+from collections.abc import Mapping
 from typing import Final, Protocol
 
 from guavaroad.domain.pool import actions, open_jobs
@@ -57,8 +58,8 @@
 class Counters(Protocol):
     """Counts events for the metrics page."""
 
-    def event(self, event: str) -> None:
-        """Count an event."""
+    def event(self, event: str, fields: Mapping[str, object]) -> None:
+        """Count an event, and the times among its fields."""
 
     def job_ended(self, outcome: str, reason: str, seconds: float) -> None:
         """Count an answered job."""
@@ -93,7 +94,7 @@
 
     def write(self, event: str, fields: dict[str, object], most: int) -> None:
         """Write a line within a budget."""
-        self.counters.event(event)
+        self.counters.event(event, fields)
         budget = self.budgets.setdefault(event, Budget())
         if budget.take(self.timers.now(), most):
             self.writer.write(event, fields)
