--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.ready
 
-.PHONY: setup soak format lint types scenarios test pages demo bench capacity clean
+.PHONY: setup soak report format lint types scenarios test pages demo bench capacity clean
 
 $(STAMP): pyproject.toml constraints.txt requirements-dev.txt packages/guavaroad/pyproject.toml packages/guavaroadctl/pyproject.toml standins/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -62,3 +62,8 @@
 FIRST ?= 1
 soak: setup
 	$(BIN)/python tools/soak.py $(or $(SEED),$(shell seq $(FIRST) $$(($(FIRST) + $(or $(SEEDS),3) - 1))))
+
+# Tables and plots of the bench's journal, in docs/scores.
+report: setup
+	$(BIN)/pip install -qq --disable-pip-version-check -c constraints.txt -r requirements-report.txt
+	$(BIN)/python tools/journal_report.py
