--- a/tools/journal_report.py
+++ b/tools/journal_report.py
@@ -71,6 +71,11 @@
     score: float | None
     days: tuple[Day, ...]
 
+    def worth_of(self, name: str) -> float | None:
+        """Return what a day was worth, if it was played."""
+        worths = (day.worth for day in self.days if day.name == name)
+        return next(worths, None)
+
     def row(self, *cells: str) -> str:
         """Return a row of a table: when, which, and the given cells."""
         ended = self.ended[:MINUTE].replace('T', ' ')
@@ -145,11 +150,10 @@
 
 def line_of(name: str, runs: list[Entry]) -> tuple[list[str], list[float]]:
     """Return the entries that played a day, and what it was worth."""
-    played: dict[str, float] = {}
-    for one in runs:
-        worths = {day.name: day.worth for day in one.days}
-        if name in worths:
-            played[one.entry_id] = worths[name]
+    worths = ((one.entry_id, one.worth_of(name)) for one in runs)
+    played = {
+        entry_id: worth for entry_id, worth in worths if worth is not None
+    }
     return list(played), list(played.values())
 
 
