--- a/tools/journal_report.py
+++ b/tools/journal_report.py
@@ -148,13 +148,13 @@
     pyplot.close(figure)
 
 
-def line_of(name: str, runs: list[Entry]) -> tuple[list[str], list[float]]:
+def line_of(
+    name: str, runs: list[Entry]
+) -> tuple[list[str], list[float | None]]:
     """Return the entries that played a day, and what it was worth."""
-    worths = ((one.entry_id, one.worth_of(name)) for one in runs)
-    played = {
-        entry_id: worth for entry_id, worth in worths if worth is not None
-    }
-    return list(played), list(played.values())
+    played = [one for one in runs if one.worth_of(name) is not None]
+    ids = [one.entry_id for one in played]
+    return ids, [one.worth_of(name) for one in played]
 
 
 def page(site: str, found: list[Entry]) -> str:
