--- a/Makefile
+++ b/Makefile
@@ -58,10 +58,13 @@
 clean:
 	rm -rf $(VENV) build
 
-# One seed (SEED=7), or many from the first on (SEEDS=50 FIRST=100).
+# One seed (SEED=7), or many from the first on (SEEDS=50 FIRST=100), of the usual
+# size or another (INSTANCES=60 WORKERS=150).
 FIRST ?= 1
+INSTANCES ?= 4
+WORKERS ?= 9
 soak: setup
-	$(BIN)/python tools/soak.py $(or $(SEED),$(shell seq $(FIRST) $$(($(FIRST) + $(or $(SEEDS),3) - 1))))
+	$(BIN)/python tools/soak.py --instances=$(INSTANCES) --workers=$(WORKERS) $(or $(SEED),$(shell seq $(FIRST) $$(($(FIRST) + $(or $(SEEDS),3) - 1))))
 
 # Tables and plots of the bench's journal, in docs/scores.
 report: setup
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -20,6 +20,9 @@
 )
 
 LONGEST_GAP_S = 1.2
+# Time to start: of one process while the others start too, and of any number.
+START_S = 1.5
+LEAST_START_S = 20
 SETTLE_S = 2.5
 # Time in which the last answers come, in seconds.
 ANSWERS_S = 15
@@ -41,6 +44,10 @@
     faults: int = 7
     jobs_per_s: int = 25
 
+    def start_s(self):
+        """Return how long all processes may take to start, in seconds."""
+        return LEAST_START_S + START_S * self.instances
+
 
 class Soak:
     """One run from one seed.
@@ -88,7 +95,7 @@
 
     def play(self, plant):
         """Play the faults under load, then let all be well again."""
-        self.fleet.wait_ready()
+        self.fleet.wait_ready(self.size.start_s())
         if plant is not None:
             self.load(0.5)
             plant(self)
