Hold submissions in the queue until a cancel has prevented a start

Cause of the known failure: the scenario sent 40 submissions and 40 cancels at once, and wanted at least one cancel to come before the start of its submission. Under load every submission won. The upstreams now hold their first tasks, so later submissions wait in the queue, and are released once one cancel has been answered CANCELLED. The checks are unchanged.

Ruled out: a false answer of the product; the failed run had 37 COMPLETE and 3 CANCELLED_DURING_RUN, all true.

--- a/features/ownership/faults.feature
+++ b/features/ownership/faults.feature
@@ -45,6 +45,7 @@
     And 3 tasks started and none twice
 
   Scenario: Submissions that are cancelled while they start get a true answer
+    Given the upstreams hold tasks at the answer
     When 40 submissions are cancelled while they start
     Then every submission that is answered CANCELLED started nothing
     And every submission that is answered COMPLETE has all its answers
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -403,6 +403,13 @@
             for key, preference in zip(keys, preferences, strict=True)
         ]
         cancellations = [pool.submit(cancel, second, key) for key in keys]
+        # Holding the first tasks leaves later submissions in the queue, where
+        # a cancel can still prevent their start.
+        processes.wait_until(
+            lambda: any(map(has_prevented_start, cancellations)),
+            'a cancel of a queued submission',
+        )
+        when_released(context)
         futures.wait([*submissions, *cancellations])
     context.ended = {}
     for key in keys:
@@ -412,6 +419,12 @@
         context.ended[key] = context.last
 
 
+def has_prevented_start(cancellation):
+    return (
+        cancellation.done() and cancellation.result()['name'] == 'CANCELLED'
+    )
+
+
 def has_ended(context, key):
     return result_name(context, 1, key) != 'PENDING'
 
