Leave the built files alone when the sources have not changed

Ruled out: a fault of the program; the traceback shows a module that was being copied.

After: the build compares first and copies only a package that differs.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,7 +7,13 @@
     python3 -m pip install -q --disable-pip-version-check -U --target "$deps" -r deploy/requirements.txt
     touch "$stamp"
 fi
-rm -rf "$deps/guavaroad" "$deps/guavaroad_platform"
-cp -r packages/guavaroad/src/guavaroad platform/src/guavaroad_platform "$deps/"
-find "$deps/guavaroad" "$deps/guavaroad_platform" -name __pycache__ -prune -exec rm -rf {} +
-python3 -m compileall -q "$deps"
+# A build without changes leaves the files alone: processes may be starting from
+# them, as when two runs share this checkout.
+for package in packages/guavaroad/src/guavaroad platform/src/guavaroad_platform; do
+    if ! diff -rq -x __pycache__ "$package" "$deps/$(basename "$package")" > /dev/null 2>&1; then
+        rm -rf "${deps:?}/$(basename "$package")"
+        cp -r "$package" "$deps/"
+        find "$deps/$(basename "$package")" -name __pycache__ -prune -exec rm -rf {} +
+        python3 -m compileall -q "$deps"
+    fi
+done
