--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -420,9 +420,7 @@
 
 
 def has_prevented_start(cancellation):
-    return (
-        cancellation.done() and cancellation.result()['name'] == 'CANCELLED'
-    )
+    return cancellation.done() and cancellation.result()['name'] == 'CANCELLED'
 
 
 def has_ended(context, key):
--- a/features/support/pool_worlds.py
+++ b/features/support/pool_worlds.py
@@ -19,6 +19,8 @@
 
 STEP_S = 0.005
 TASK_CPU = 14_000
+# Capacity of an instance's link, as on the users' smaller machines.
+LINK_BYTES_PER_S = 1_500_000
 # Timeout of the clients on the users' sites: 1.5 s plus three times the latency
 # objective.
 CLIENT_TIMEOUT_BASE_MS = 1500
@@ -103,6 +105,7 @@
                     network=world.network, owner=name
                 ),
                 timers=timer_service,
+                link_bytes_per_s=world.link_bytes_per_s,
                 decision_log=decision_log.DecisionLog(
                     writer=self.log,
                     counters=self.log,
@@ -134,7 +137,16 @@
 class PoolWorld:
     """Instances, workers, a store and a network on one simulated clock."""
 
-    def __init__(self, *, zones, instances, workers, seed=1):
+    def __init__(
+        self,
+        *,
+        zones,
+        instances,
+        workers,
+        seed=1,
+        link_bytes_per_s=LINK_BYTES_PER_S,
+    ):
+        self.link_bytes_per_s = link_bytes_per_s
         self.clock = task.Clock()
         self.random = random.Random(seed)
         self.store = pool_cluster.MemoryStore()
@@ -245,14 +257,8 @@
 
     def kill(self, name):
         """Kill an instance; its connections are reset."""
-        instance = self.instances[name]
-        links = [instance.node.allocator_follower.link]
-        if instance.node.active_allocator:
-            links.extend(instance.node.active_allocator.links.links.values())
-        others = [link.other for link in links if link]
+        self.network.reset_links(name)
         self.power_off(name)
-        for other in others:
-            self.clock.callLater(pool_cluster.LINK_LATENCY_S, other.lost)
 
     def submit(
         self,
--- a/packages/guavaroad/src/guavaroad/adapters/pool_wire.py
+++ b/packages/guavaroad/src/guavaroad/adapters/pool_wire.py
@@ -33,6 +33,7 @@
         on_lost: Called once when the connection is lost.
         outbox: Messages sent in this iteration of the event loop.
         is_open: Whether the link is connected.
+        sent_s: Time of the last frame that was sent, in seconds.
     """
 
     MAX_LENGTH = MAX_FRAME_BYTES
@@ -48,6 +49,7 @@
         self.on_lost: Callable[[], object] = _ignore_loss
         self.outbox: list[Message] = []
         self.is_open = False
+        self.sent_s = float(0)
 
     def connectionMade(self) -> None:
         """Report the new link."""
@@ -68,6 +70,7 @@
         batch = self.outbox
         self.outbox = []
         if batch and self.is_open:
+            self.sent_s = self.reactor.seconds()
             self.sendString(_ENCODER.encode(batch))
 
     def stringReceived(self, string: bytes) -> None:
--- a/packages/guavaroad/src/guavaroad/domain/pool/actions.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/actions.py
@@ -15,6 +15,11 @@
         number: Run number of this start.
         payload: Payload that is passed to the task.
         until_ms: End of the lease, on the worker's clock, in milliseconds.
+        job: Id of the job.
+        index: Index of the task in the job.
+        owner: Owner of the job.
+        owner_has_payload: Whether only the owner has the payload, and so sends
+            the order.
     """
 
     worker_id: values.WorkerId
@@ -22,6 +27,10 @@
     number: values.RunNumber
     payload: str
     until_ms: int
+    job: values.JobId
+    index: int
+    owner: values.InstanceName
+    owner_has_payload: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from typing import Final
 
 from guavaroad.domain import units
 from guavaroad.domain.pool import (
@@ -23,6 +24,10 @@
     worker_reports,
 )
 
+# Ticks after which every worker was checked. A check visits all runs; those of
+# hundreds of workers in each tick would take several percent of a core.
+CHECK_PARTS: Final = 2
+
 
 class Allocator:
     """Places tasks on workers for as long as it holds the fencing token.
@@ -36,6 +41,7 @@
         orphans: Gives up the jobs of lost owners.
         takeover: Cleans up after the previous allocator.
         placement_scheduler: Places tasks.
+        checked_part: Part of the workers that was last checked.
     """
 
     def __init__(
@@ -55,7 +61,10 @@
             state=self.state, reports=self.reports
         )
         self.orphans = orphans.Orphans(state=self.state, runs=self.runs)
-        self.takeover = takeover.Takeover(state=self.state)
+        self.takeover = takeover.Takeover(
+            state=self.state, reports=self.reports
+        )
+        self.checked_part = 0
         self.placement_scheduler = placement_scheduler.PlacementScheduler(
             state=self.state
         )
@@ -75,13 +84,19 @@
         self.runs.follow_stops(now_s)
         self.orphans.drop_expired(now_s)
         self.state.closed.expire(now_s)
-        for worker_state in tuple(self.state.workers.values()):
-            self.check_worker(worker_state, now_s)
+        self.check_workers(now_s)
         for pool in self.state.pools.values():
             for job in pool.backlog.expired_jobs(now_s):
                 self.give_up_late(pool, job, now_s)
         self.takeover.clean_up(now_s)
 
+    def check_workers(self, now_s: float) -> None:
+        """Check a part of the workers, so that each is checked in turn."""
+        self.checked_part = (self.checked_part + 1) % CHECK_PARTS
+        workers = tuple(self.state.workers.values())
+        for worker_state in workers[self.checked_part :: CHECK_PARTS]:
+            self.check_worker(worker_state, now_s)
+
     def give_up_late(
         self, pool: allocator_state.PoolState, job: work.Job, now_s: float
     ) -> None:
@@ -109,7 +124,8 @@
             )
             self.runs.expire_leases(worker_state, now_s)
         stragglers.stop_stragglers(self.runs, worker_state, now_s)
-        if stragglers.needs_extra_poll(worker_state, now_s):
+        repeat_s = self.reports.answer_times.repeat_interval_s()
+        if stragglers.needs_extra_poll(worker_state, now_s, repeat_s):
             worker_state.extra_poll_s = now_s
             self.state.add_action(
                 actions.PollNow(worker_id=worker_state.worker_info.worker_id)
--- a/packages/guavaroad/src/guavaroad/domain/pool/declared_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/declared_jobs.py
@@ -29,6 +29,7 @@
         urgency=declared.urgency,
         max_attempts=declared.max_attempts,
         payload=declared.payload,
+        owner_has_payload=declared.owner_has_payload,
         estimate_s=estimate_s,
         arrived_s=arrived_s,
         objective_start_s=arrived_s + declared.objective_ms / units.MS_PER_S,
--- a/packages/guavaroad/src/guavaroad/domain/pool/election.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/election.py
@@ -15,6 +15,8 @@
 from guavaroad.domain import names, units
 from guavaroad.domain.pool import peer_messages, values
 
+# Period of an allocator's heartbeats, in seconds.
+HEARTBEAT_PERIOD_S: Final = 0.1
 # An allocator without a message for this long is considered lost, in seconds:
 # four heartbeats, so that one stall of the event loop has no effect.
 ALLOCATOR_TIMEOUT_S: Final = 0.45
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -226,7 +226,7 @@
 
     def adopt_reported(self, name: values.TaskName, now_s: float) -> bool:
         """Adopt an unclaimed run of a task; return whether there is one."""
-        for worker_state in self.state.workers.values():
+        for worker_state in self.reports.workers_with_unclaimed_runs():
             number = worker_state.unclaimed_runs.pop(name, None)
             if number is not None:
                 listed = outcomes.ListedRun(task=name, number=number)
--- a/packages/guavaroad/src/guavaroad/domain/pool/messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/messages.py
@@ -57,6 +57,8 @@
             without the owner's knowledge.
         after: For each step, the steps that must be done before it.
         redeclared: Whether the job was declared on an earlier link.
+        owner_has_payload: Whether the payload is left out, as the owner sends
+            the start orders.
     """
 
     job: values.JobId
@@ -72,6 +74,7 @@
     unconfirmed: bool = False
     after: tuple[tuple[int, ...], ...] = ((),)
     redeclared: bool = False
+    owner_has_payload: bool = False
 
 
 class Withdraw(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
@@ -9,7 +9,12 @@
 from typing import Any
 
 from guavaroad.domain import names, units
-from guavaroad.domain.pool import constraints, messages, values
+from guavaroad.domain.pool import (
+    agent_messages,
+    constraints,
+    messages,
+    values,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -166,15 +171,22 @@
         """Add an event to the history of the job."""
         self.history.append(f'{event} {detail} at {age_ms} ms')
 
-    def declaration(self, now_s: float) -> messages.Declare:
-        """Return the message that declares the job to the allocator."""
+    def declaration(
+        self, now_s: float, *, with_payload: bool
+    ) -> messages.Declare:
+        """Return the message that declares the job to the allocator.
+
+        Args:
+            now_s: Current time, in seconds.
+            with_payload: Whether the allocator sends the start orders.
+        """
         request = self.request
         return messages.Declare(
             job=request.job_id,
             pool=request.pool,
             urgency=request.urgency,
             max_attempts=request.max_attempts,
-            payload=request.payload,
+            payload=request.payload if with_payload else '',
             estimate_ms=request.estimate_ms,
             age_ms=self.age_ms(now_s),
             objective_ms=request.objective_ms,
@@ -183,6 +195,7 @@
             unconfirmed=self.unconfirmed,
             after=request.after,
             redeclared=self.was_declared,
+            owner_has_payload=not with_payload,
         )
 
     def record_starts(self, message: messages.Begun) -> None:
@@ -192,6 +205,16 @@
             task.run = number
             task.worker = worker_id
 
+    def start_of(self, launch: agent_messages.Launch) -> agent_messages.Start:
+        """Return the order for a start that the allocator has decided."""
+        return agent_messages.Start(
+            call=launch.call,
+            worker_id=launch.worker_id,
+            task=self.tasks[launch.index].request.name,
+            run=launch.run,
+            until_ms=launch.until_ms,
+        )
+
     def record_end(self, message: messages.Ended) -> bool:
         """Record the end of a run; return whether the job is complete."""
         task = self.tasks[message.index]
--- a/packages/guavaroad/src/guavaroad/domain/pool/outcomes.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/outcomes.py
@@ -17,6 +17,7 @@
     OTHER_INCARNATION = 'other_life'
     MALFORMED = 'malformed'
     UNREACHED = 'unreached'
+    NOT_SENT = 'not_sent'
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -49,9 +50,12 @@
 
     Attributes:
         detail: What failed.
+        is_agent_lost: Whether the agent that made the call did not answer, so
+            that nothing is known about the worker.
     """
 
     detail: str
+    is_agent_lost: bool = False
 
 
 OrderOutcome = Accepted | Refused | NoAnswer
--- a/packages/guavaroad/src/guavaroad/domain/pool/peer_messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/peer_messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from guavaroad.domain import names
-from guavaroad.domain.pool import messages, values
+from guavaroad.domain.pool import agent_messages, messages, values
 
 
 class Instance(msgspec.Struct, frozen=True, array_like=True):
@@ -35,6 +35,9 @@
         instances: Instances that the allocator tracks.
         has_declared_jobs: Whether the allocator still has the jobs that the
             instance declared on the previous link.
+        agent_version: Version of the messages to agents that the allocator
+            uses; 0 for a build without agents.
+        owners_launch: Whether the owners of jobs send the start orders.
     """
 
     token: values.Token
@@ -43,6 +46,8 @@
     reserved_token_base: values.Token
     instances: tuple[Instance, ...]
     has_declared_jobs: bool
+    agent_version: int = 0
+    owners_launch: bool = False
 
 
 class Reserved(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -79,6 +84,20 @@
     config_version: int
 
 
+class FollowerState(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """First message of a follower to an allocator that uses agents.
+
+    Attributes:
+        agent_version: Version of the messages to agents that it understands.
+        directory_digest: Digest of its directory.
+        worker_list_digest: Digest of the worker list that it was last sent.
+    """
+
+    agent_version: int
+    directory_digest: int
+    worker_list_digest: int
+
+
 class Superseded(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """The instance follows an allocator with a higher token.
 
@@ -117,6 +136,18 @@
     rows: tuple[tuple[str, bytes], ...]
 
 
+class WorkerRowChanges(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Changes of the list of workers, for an instance with a reserved token.
+
+    Attributes:
+        rows: Ids and texts of new and changed rows, as stored by the platform.
+        removed: Ids of removed rows.
+    """
+
+    rows: tuple[tuple[str, bytes], ...]
+    removed: tuple[str, ...]
+
+
 class SharedDirectory(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Instances that the allocator tracks; the next allocator dials them.
 
@@ -155,21 +186,30 @@
 
 ToInstance = (
     Follow
+    | agent_messages.LaunchMode
     | Reserved
     | AllocatorBeat
     | Retiring
     | SharedConfig
     | SharedWorkers
+    | WorkerRowChanges
     | SharedDirectory
     | Poll
     | messages.ToOwner
+    | agent_messages.ToAgent
+    | agent_messages.LaunchRuns
+    | agent_messages.StartRuns
 )
 ToAllocator = (
     Superseded
     | OwnerBeat
+    | FollowerState
     | SharedConfig
     | SharedWorkers
     | PollAnswer
     | messages.Declare
     | messages.Withdraw
+    | agent_messages.FromAgent
+    | agent_messages.NotLaunched
+    | agent_messages.StartsReceived
 )
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -19,6 +19,9 @@
 # Time for which a worker may be missing from the platform's list and still get
 # tasks, in seconds; missing entries reappear within 2 s.
 UNLISTED_GRACE_S: Final = 2.5
+# Age up to which the number of usable cores is reused, in seconds. It is needed
+# for every job, and counting it takes time in proportion to the workers.
+CORES_MAX_AGE_S: Final = 0.02
 
 
 class CapacityIndex:
@@ -30,6 +33,8 @@
         indexed_cpu: Free cores under which each worker is indexed, in
             thousandths.
         free_cpu: Free thousandths of a core of all workers.
+        usable_cores: Cores of the usable workers as last counted.
+        cores_counted_s: Time of that count, in seconds.
     """
 
     def __init__(self) -> None:
@@ -37,6 +42,8 @@
         self.workers: dict[values.WorkerId, worker.Worker] = {}
         self.indexed_cpu: dict[values.WorkerId, int] = {}
         self.free_cpu = 0
+        self.usable_cores = float(0)
+        self.cores_counted_s = float('-inf')
 
     def update(self, worker_state: worker.Worker) -> None:
         """Index a worker under its current free cores."""
@@ -121,11 +128,15 @@
 
     def cores(self, now_s: float) -> float:
         """Return the number of cores of the usable workers."""
-        return sum(
-            worker_state.worker_info.capacity.cpu / values.CPU_MILLIS_PER_CORE
-            for worker_state in self.workers.values()
-            if is_usable(worker_state, now_s)
-        )
+        if now_s - self.cores_counted_s > CORES_MAX_AGE_S:
+            self.cores_counted_s = now_s
+            usable_cpu = sum(
+                worker_state.worker_info.capacity.cpu
+                for worker_state in self.workers.values()
+                if is_usable(worker_state, now_s)
+            )
+            self.usable_cores = usable_cpu / values.CPU_MILLIS_PER_CORE
+        return self.usable_cores
 
 
 def is_usable(worker_state: worker.Worker, now_s: float) -> bool:
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
@@ -99,6 +99,10 @@
                 number=number,
                 payload=task.job.payload,
                 until_ms=worker_state.lease.extend(now_s),
+                job=task.job.job_id,
+                index=task.index,
+                owner=task.job.owner,
+                owner_has_payload=task.job.owner_has_payload,
             )
         )
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -34,6 +34,12 @@
 MIN_ESTIMATE_S: Final = 0.02
 
 
+# Refusals that show nothing about the worker that was to run the task.
+_NOT_ABOUT_WORKER: Final = frozenset(
+    (outcomes.Refusal.STALE_RUN, outcomes.Refusal.NOT_SENT)
+)
+
+
 class RunTracker:
     """Tracks every run on every worker.
 
@@ -69,7 +75,7 @@
         run = worker_state.runs.get(name)
         if run is None or run.number != number:
             return
-        if not isinstance(outcome, outcomes.NoAnswer):
+        if is_from_worker(outcome):
             worker_state.health.record_answer()
         match outcome:
             case outcomes.Accepted():
@@ -81,9 +87,7 @@
             case outcomes.Refused():
                 self.on_start_refused(worker_state, run, outcome.reason, now_s)
             case outcomes.NoAnswer():
-                self.on_start_unanswered(
-                    worker_state, run, outcome.detail, now_s
-                )
+                self.on_start_unanswered(worker_state, run, outcome, now_s)
 
     def on_start_refused(
         self,
@@ -107,7 +111,7 @@
             worker_state.health.eject(now_s)
         elif reason is outcomes.Refusal.UNREACHED:
             worker_state.health.record_unanswered(now_s)
-        elif reason is not outcomes.Refusal.STALE_RUN:
+        elif reason not in _NOT_ABOUT_WORKER:
             worker_state.is_synced = False
         if reason is outcomes.Refusal.MALFORMED:
             self.give_up(task.job, values.GiveUpReason.ATTEMPTS_USED)
@@ -118,21 +122,22 @@
         self,
         worker_state: worker.Worker,
         run: worker.Run,
-        detail: str,
+        outcome: outcomes.NoAnswer,
         now_s: float,
     ) -> None:
         """Stop a run whose start order may still be carried out."""
         if run.state is not values.RunState.ORDERED:
             return
         run.state = values.RunState.UNANSWERED
-        worker_state.health.record_unanswered(now_s)
+        if not outcome.is_agent_lost:
+            worker_state.health.record_unanswered(now_s)
         self.state.log_event(
             'start_unanswered',
             job=run.task.job.job_id,
             task=run.task.name,
             run=run.number,
             worker=worker_state.worker_info.worker_id,
-            detail=detail,
+            detail=outcome.detail,
         )
         self.stop(worker_state, run)
 
@@ -312,3 +317,14 @@
             worker=worker_state.worker_info.worker_id,
             percent=run.percent,
         )
+
+
+def is_from_worker(outcome: outcomes.OrderOutcome) -> bool:
+    """Return whether an outcome shows that the worker answers."""
+    match outcome:
+        case (
+            outcomes.NoAnswer()
+            | outcomes.Refused(reason=outcomes.Refusal.NOT_SENT)
+        ):
+            return False
+    return True
--- a/packages/guavaroad/src/guavaroad/domain/pool/stragglers.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/stragglers.py
@@ -17,8 +17,6 @@
 # estimate plus a fixed time, in seconds; half of the runs end before.
 OVERDUE_RATIO: Final = 1.2
 OVERDUE_EXTRA_S: Final = 0.03
-# Minimum interval between extra polls of one worker, in seconds.
-EXTRA_POLL_INTERVAL_S: Final = 0.1
 # A run with less than this share of the progress of a steady one hangs.
 MIN_PROGRESS_SHARE: Final = 0.5
 COMPLETE_PERCENT: Final = 100
@@ -65,12 +63,20 @@
                 runs.stop(worker_state, run)
 
 
-def needs_extra_poll(worker_state: worker.Worker, now_s: float) -> bool:
+def needs_extra_poll(
+    worker_state: worker.Worker, now_s: float, interval_s: float
+) -> bool:
     """Return whether a run should have ended but no report shows its end.
 
     The answer to the pending status poll may be lost.
+
+    Args:
+        worker_state: The worker.
+        now_s: Current time, in seconds.
+        interval_s: Minimum interval between two extra polls of one worker, in
+            seconds.
     """
-    if now_s - worker_state.extra_poll_s < EXTRA_POLL_INTERVAL_S:
+    if now_s - worker_state.extra_poll_s < interval_s:
         return False
     for run in worker_state.runs.values():
         estimate_s = run.task.estimate_s
--- a/packages/guavaroad/src/guavaroad/domain/pool/takeover.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/takeover.py
@@ -2,7 +2,13 @@
 
 from typing import Final
 
-from guavaroad.domain.pool import actions, allocator_state, leases, worker
+from guavaroad.domain.pool import (
+    actions,
+    allocator_state,
+    leases,
+    worker,
+    worker_reports,
+)
 
 # Retention of ends whose job no owner has declared yet, in seconds. Owners
 # declare their jobs within a second of a takeover.
@@ -21,14 +27,21 @@
 
     Attributes:
         state: State of the allocator.
+        reports: Knows the workers with unclaimed runs.
     """
 
-    def __init__(self, *, state: allocator_state.AllocatorState) -> None:
+    def __init__(
+        self,
+        *,
+        state: allocator_state.AllocatorState,
+        reports: worker_reports.WorkerReports,
+    ) -> None:
         self.state = state
+        self.reports = reports
 
     def clean_up(self, now_s: float) -> None:
         """Stop unclaimed runs, drop old ends and queue tasks held back."""
-        for worker_state in self.state.workers.values():
+        for worker_state in self.reports.workers_with_unclaimed_runs():
             since_s = worker_state.unclaimed_since_s
             if since_s is not None and now_s - since_s > UNCLAIMED_GRACE_S:
                 self.stop_unclaimed(worker_state, now_s)
--- a/packages/guavaroad/src/guavaroad/domain/pool/work.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/work.py
@@ -50,6 +50,7 @@
         urgency: Urgency; 0 is the most urgent.
         max_attempts: Number of failed runs of one task that fails the job.
         payload: Payload that is passed to every task.
+        owner_has_payload: Whether the owner kept the payload to itself.
         estimate_s: Estimated run time of its longest chain of tasks.
         arrived_s: Time at which its owner received it.
         objective_start_s: Latest start that meets the latency objective.
@@ -87,6 +88,7 @@
     held: list[Task] = dataclasses.field(default_factory=list)
     unconfirmed_until_s: float = 0
     closed: bool = False
+    owner_has_payload: bool = False
 
     def may_begin(self, step: int) -> bool:
         """Return whether all steps before this one are done."""
--- a/packages/guavaroad/src/guavaroad/ports/pool.py
+++ b/packages/guavaroad/src/guavaroad/ports/pool.py
@@ -77,8 +77,8 @@
 class WorkersPort(Protocol):
     """Calls to workers.  Every callback is called exactly once."""
 
-    def open(self, worker_info: worker.WorkerInfo) -> None:
-        """Prepare for calls to a worker."""
+    def open(self, worker_id: values.WorkerId, address: str) -> None:
+        """Prepare for calls to a worker at an address, `host:port`."""
 
     def close(self, worker_id: values.WorkerId) -> None:
         """Close the connections to a worker."""
--- a/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
@@ -1,33 +1,33 @@
 """Runs the allocator while this instance holds the token."""
 
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
-from guavaroad.domain import units
 from guavaroad.domain.pool import (
-    actions,
     allocator,
     election,
-    messages,
     peer_messages,
     values,
+    worker,
 )
 from guavaroad.ports import pool, timers
 from guavaroad.services.pool import (
-    configuration_watch,
+    action_executor,
+    agent_calls,
+    allocator_inbox,
     dependencies,
-    directory,
+    follow_requests,
+    heartbeat_sender,
     instance_links,
-    orders,
+    instance_parts,
     state_broadcaster,
-    status_poller,
     store_reader,
 )
 
 # Period of time-driven decisions, in seconds.
 TICK_PERIOD_S: Final = 0.02
-# Period of heartbeats, in seconds: about a quarter of the allocator timeout.
-HEARTBEAT_PERIOD_S: Final = 0.1
+# Period of checking links, agents and calls for time-outs, in seconds.
+LINK_CHECK_PERIOD_S: Final = 0.05
 # Period of reading the worker list, in seconds. A worker that drains must get
 # no more work 2 s later.
 WORKERS_PERIOD_S: Final = 0.5
@@ -40,7 +40,14 @@
 
     Attributes:
         term: Term of this allocator.
+        links: Links to the instances.
         machine: State machine that makes the decisions.
+        store_reader: Keeps the worker list up to date.
+        executor: Executes the decisions.
+        heartbeats: Sends heartbeats, and checks the links.
+        follow_requests: Asks instances to follow this allocator.
+        inbox: Processes the messages of instances.
+        subscriptions: Periodic calls.
         is_scheduled: Whether a dispatch is due at the end of this reactor
             iteration.
         stopped: Whether the allocation has ended.
@@ -52,49 +59,95 @@
         term: election.Term,
         links: instance_links.InstanceLinks,
         deps: dependencies.Dependencies,
-        instance_directory: directory.Directory,
-        configuration: configuration_watch.ConfigurationWatch,
+        parts: instance_parts.InstanceParts,
         on_fenced: Callable[[], object],
     ) -> None:
         self.term = term
         self.links = links
-        self.directory = instance_directory
-        self.configuration = configuration
         self.dependencies = deps
         self.on_fenced = on_fenced
         self.machine = allocator.Allocator(
             token=term.token, now_s=deps.timers.now(), seed=term.token
         )
-        self.status_poller = status_poller.StatusPoller(
-            machine=self.machine,
-            workers=deps.workers,
+        broadcaster = state_broadcaster.StateBroadcaster(
+            links=links,
+            term=term,
+            configuration=parts.configuration,
+            instance_directory=parts.directory,
             timer_service=deps.timers,
+            link_bytes_per_s=deps.link_bytes_per_s,
+        )
+        self.store_reader = store_reader.StoreReader(
+            machine=self.machine,
+            instance_directory=parts.directory,
+            deps=deps,
             on_change=self.schedule_dispatch,
-            on_fenced=self.step_down,
+            on_rows=self.on_worker_list,
+            on_directory=broadcaster.share_directory,
+        )
+        self.create_callers(parts, broadcaster)
+        self.subscriptions: list[timers.Timer] = []
+        self.is_scheduled = False
+        self.stopped = False
+
+    def create_callers(
+        self,
+        parts: instance_parts.InstanceParts,
+        broadcaster: state_broadcaster.StateBroadcaster,
+    ) -> None:
+        """Create the parts that exchange messages with others."""
+        deps = self.dependencies
+        calls = agent_calls.AgentCalls(
+            token=self.term.token,
+            links=self.links,
+            instance_directory=parts.directory,
+            deps=deps,
+            agent=parts.agent,
+            starter=parts.starter,
+            on_mode=self.announce_mode,
         )
-        self.order_sender = orders.OrderSender(
+        self.executor = action_executor.ActionExecutor(
             machine=self.machine,
-            workers=deps.workers,
-            timer_service=deps.timers,
+            calls=calls,
+            broadcaster=broadcaster,
+            log=deps.decision_log,
             on_change=self.schedule_dispatch,
             on_fenced=self.step_down,
         )
-        self.broadcaster = state_broadcaster.StateBroadcaster(
-            links=links, term=term, configuration=configuration
+        self.heartbeats = heartbeat_sender.HeartbeatSender(
+            links=self.links,
+            calls=calls,
+            broadcaster=broadcaster,
+            configuration=parts.configuration,
+            reader=self.store_reader,
         )
-        self.store_reader = store_reader.StoreReader(
+        self.follow_requests = follow_requests.FollowRequests(
+            term=self.term,
+            instance_directory=parts.directory,
+            assignments=calls.assignments,
+            broadcaster=broadcaster,
+            log=deps.decision_log,
+        )
+        self.inbox = allocator_inbox.AllocatorInbox(
             machine=self.machine,
-            instance_directory=instance_directory,
-            deps=deps,
+            calls=calls,
+            requests=self.follow_requests,
+            configuration=parts.configuration,
+            reader=self.store_reader,
             on_change=self.schedule_dispatch,
-            on_rows=self.broadcaster.share_worker_rows,
-            on_directory=lambda: self.broadcaster.share_directory(
-                instance_directory.all_instances()
-            ),
+            on_superseded=self.on_superseded,
         )
-        self.subscriptions: list[timers.Timer] = []
-        self.is_scheduled = False
-        self.stopped = False
+
+    def on_worker_list(
+        self, rows: pool.WorkerRows, listed: tuple[worker.WorkerInfo, ...]
+    ) -> None:
+        """Prepare for a changed worker list, and share it."""
+        self.executor.calls.assignments.update_mode(len(listed))
+        self.executor.broadcaster.share_worker_rows(rows, listed)
+
+    def announce_mode(self) -> None:
+        """Tell the instances who sends the start orders of new jobs."""
+        self.follow_requests.announce_mode()
 
     def start(self, inherited: pool.WorkerRows | None) -> None:
         """Start to allocate.
@@ -103,14 +156,15 @@
             inherited: Worker rows that the previous allocator has shared.
         """
         self.links.on_link = self.request_follow
-        self.links.on_message = self.receive
+        self.links.on_message = self.inbox.receive
         self.links.on_lost = self.record_link_loss
         for name, link in tuple(self.links.links.items()):
             self.request_follow(name, link)
         subscribe = self.dependencies.timers.subscribe
         self.subscriptions = [
             subscribe(TICK_PERIOD_S, self.tick),
-            subscribe(HEARTBEAT_PERIOD_S, self.send_heartbeats),
+            subscribe(election.HEARTBEAT_PERIOD_S, self.heartbeats.send_all),
+            subscribe(LINK_CHECK_PERIOD_S, self.heartbeats.check),
             subscribe(WORKERS_PERIOD_S, self.store_reader.read_workers),
             subscribe(DIRECTORY_PERIOD_S, self.store_reader.read_directory),
         ]
@@ -132,7 +186,7 @@
         self.stopped = True
         for subscription in self.subscriptions:
             subscription.cancel()
-        self.status_poller.remove_all()
+        self.executor.status_poller.remove_all()
         if retiring:
             for link in self.links.links.values():
                 link.send(peer_messages.Retiring())
@@ -147,38 +201,19 @@
         self, name: values.InstanceName, link: instance_links.LinkPort
     ) -> None:
         """Ask a newly linked instance to follow this allocator."""
-        has_declared_jobs = self.machine.orphans.on_owner_linked(name)
-        self.dependencies.decision_log.log_event(
-            'instance_linked', instance=name, token=self.term.token
-        )
-        self.add_successor(name)
-        link.send(
-            peer_messages.Follow(
-                token=self.term.token,
-                allocator=self.term.allocator,
-                successors=self.term.successors,
-                reserved_token_base=self.term.reserved_token_base,
-                instances=self.directory.all_instances(),
-                has_declared_jobs=has_declared_jobs,
-            )
-        )
-        link.send(self.heartbeat())
-        if name in self.term.successors:
-            self.broadcaster.send_worker_rows(name)
-
-    def add_successor(self, name: values.InstanceName) -> None:
-        """Reserve a token for an instance if there is one left."""
-        extended = election.add_successor(
-            self.term, name, self.directory.zones()
+        self.follow_requests.send(
+            name,
+            link,
+            has_declared_jobs=self.machine.orphans.on_owner_linked(name),
         )
-        if extended != self.term:
-            self.term = extended
-            self.broadcaster.send_successors(extended)
+        link.send(self.heartbeats.heartbeat())
 
     def record_link_loss(
         self, name: values.InstanceName, how: instance_links.Loss
     ) -> None:
         """Give up the jobs of an instance, at once or after a grace period."""
+        self.executor.calls.on_lost(name)
+        self.executor.broadcaster.remove_follower(name)
         self.machine.orphans.on_owner_lost(
             name,
             self.dependencies.timers.now(),
@@ -188,56 +223,21 @@
             'instance_lost', instance=name, how=how.value
         )
 
-    def receive(self, name: values.InstanceName, message: Any) -> None:
-        """Process a message of an instance."""
-        now_s = self.dependencies.timers.now()
-        match message:
-            case messages.Declare():
-                self.machine.job_admission.declare(name, message, now_s)
-                self.schedule_dispatch()
-            case messages.Withdraw():
-                self.machine.job_admission.withdraw(name, message.job)
-                self.schedule_dispatch()
-            case peer_messages.OwnerBeat():
-                self.broadcaster.send_configuration(
-                    name, message.config_version, now_s
-                )
-            case peer_messages.SharedConfig():
-                self.configuration.apply(message.body, name)
-            case peer_messages.SharedWorkers():
-                self.store_reader.apply_worker_rows(
-                    pool.WorkerRows(rows=message.rows)
-                )
-            case peer_messages.Superseded():
-                self.dependencies.decision_log.log_event(
-                    'superseded',
-                    token=self.term.token,
-                    by=message.allocator,
-                    higher=message.token,
-                )
-                self.step_down()
+    def on_superseded(self, message: peer_messages.Superseded) -> None:
+        """Step down, as an instance follows a higher token."""
+        self.dependencies.decision_log.log_event(
+            'superseded',
+            token=self.term.token,
+            by=message.allocator,
+            higher=message.token,
+        )
+        self.step_down()
 
     def tick(self) -> None:
         """Make the time-driven decisions."""
-        self.links.drop_unresponsive(election.ALLOCATOR_TIMEOUT_S)
         self.machine.tick(self.dependencies.timers.now())
         self.dispatch()
 
-    def send_heartbeats(self) -> None:
-        """Send heartbeats, and dial the instances that have no link."""
-        beat = self.heartbeat()
-        for link in tuple(self.links.links.values()):
-            link.send(beat)
-        self.links.dial_all()
-
-    def heartbeat(self) -> peer_messages.AllocatorBeat:
-        """Return a heartbeat message."""
-        age_s = self.dependencies.timers.now() - self.store_reader.updated_s
-        return peer_messages.AllocatorBeat(
-            config_version=self.configuration.version(),
-            list_age_ms=units.to_ms(age_s),
-        )
-
     def schedule_dispatch(self) -> None:
         """Dispatch at the end of this reactor iteration."""
         if not self.is_scheduled and not self.stopped:
@@ -251,22 +251,4 @@
             return
         self.machine.place(self.dependencies.timers.now())
         decided = self.machine.pop_actions()
-        self.broadcaster.notify_owners(decided)
-        for action in decided:
-            self.execute(action)
-
-    def execute(self, action: actions.Action) -> None:
-        """Execute an action other than a notification of an owner."""
-        match action:
-            case actions.StartRun():
-                self.order_sender.start(action)
-            case actions.StopRun():
-                self.order_sender.stop(action)
-            case actions.PollNow():
-                self.status_poller.poll_now(action.worker_id)
-            case actions.WorkerAdded():
-                self.status_poller.add_worker(action.worker_id)
-            case actions.WorkerRemoved():
-                self.status_poller.remove_worker(action.worker_id)
-            case actions.LogEvent():
-                self.dependencies.decision_log.log_action(action)
+        self.executor.execute_all(decided)
--- a/packages/guavaroad/src/guavaroad/services/pool/allocator_follower.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/allocator_follower.py
@@ -5,15 +5,21 @@
 from typing import Any
 
 from guavaroad.domain import units
-from guavaroad.domain.pool import election, messages, peer_messages
+from guavaroad.domain.pool import (
+    agent_messages,
+    election,
+    messages,
+    peer_messages,
+    stall_guard,
+)
 from guavaroad.ports import pool, timers
 from guavaroad.services.pool import (
-    configuration_watch,
     decision_log,
-    directory,
     heartbeat_responder,
     instance_links,
-    job_owner,
+    job_launcher,
+    shared_state,
+    worker_agent,
 )
 
 
@@ -23,9 +29,11 @@
     Attributes:
         term: Term of the current allocator, or of the last one.
         link: Link to the current allocator; none if there is none.
-        rows: Worker rows that the allocator has last shared.
+        shared_state: State that allocators have sent.
+        job_launcher: Sends the start orders of this instance's jobs.
         last_received_s: When the last message of the allocator arrived.
         heartbeat_responder: Answers the allocator's heartbeats.
+        worker_agent: Makes the calls to workers that the allocator decides.
         on_term: Called with each new term.
         on_lost: Called when the allocator is lost.
         on_poll: Called when a candidate polls this instance.
@@ -34,25 +42,27 @@
     def __init__(
         self,
         *,
-        owner: job_owner.JobOwner,
-        instance_directory: directory.Directory,
-        configuration: configuration_watch.ConfigurationWatch,
+        agent: worker_agent.WorkerAgent,
+        launcher: job_launcher.JobLauncher,
+        state: shared_state.SharedState,
         cluster: pool.ClusterPort,
         timer_service: timers.TimerService,
         log: decision_log.DecisionLog,
     ) -> None:
-        self.job_owner = owner
-        self.directory = instance_directory
-        self.configuration = configuration
+        self.job_owner = launcher.job_owner
+        self.job_launcher = launcher
+        self.worker_agent = agent
+        self.shared_state = state
         self.timers = timer_service
         self.decision_log = log
         self.term = election.NO_TERM
         self.link: instance_links.LinkPort | None = None
         self.last_received_s = timer_service.now()
-        self.rows: pool.WorkerRows | None = None
+        self.stall_guard = stall_guard.StallGuard(now_s=self.last_received_s)
         self.heartbeat_responder = heartbeat_responder.HeartbeatResponder(
+            instance_directory=state.directory,
             cluster=cluster,
-            configuration=configuration,
+            configuration=state.configuration,
             timer_service=timer_service,
         )
         self.on_term: Callable[[election.Term], object] = _ignore
@@ -70,9 +80,16 @@
             case peer_messages.Follow():
                 self.follow(link, message)
             case peer_messages.Poll():
-                self.directory.merge((message.candidate,))
+                self.shared_state.directory.merge((message.candidate,))
                 link.send(self.poll_answer())
                 self.on_poll()
+            case agent_messages.StartRuns():
+                link.send(
+                    agent_messages.StartsReceived(
+                        sequence=message.sequence,
+                        rejected=self.worker_agent.start_runs(message),
+                    )
+                )
             case _ if link is self.link:
                 self.last_received_s = self.timers.now()
                 self.receive_from_allocator(link, message)
@@ -105,7 +122,7 @@
             self.job_owner.on_allocator_lost()
             previous_link.abort()
         self.last_received_s = self.timers.now()
-        self.directory.merge(message.instances)
+        self.shared_state.directory.merge(message.instances)
         self.decision_log.log_event(
             'allocator_followed',
             token=message.token,
@@ -119,9 +136,15 @@
             successors=message.successors,
             reserved_token_base=message.reserved_token_base,
         )
+        self.worker_agent.follow(message.token, link)
+        if message.agent_version:
+            link.send(self.shared_state.digests())
         self.on_term(self.term)
         self.job_owner.on_allocator_linked(
-            link, message.token, has_declared_jobs=message.has_declared_jobs
+            link,
+            message.token,
+            has_declared_jobs=message.has_declared_jobs,
+            launches=message.owners_launch,
         )
 
     def receive_from_allocator(
@@ -130,19 +153,11 @@
         """Process a message of the current allocator."""
         match message:
             case peer_messages.AllocatorBeat():
-                self.heartbeat_responder.respond(
-                    link, message, self.term.allocator
-                )
+                self.heartbeat_responder.respond(link, message, self.term)
             case peer_messages.Reserved():
                 self.term = dataclasses.replace(
                     self.term, successors=message.successors
                 )
-            case peer_messages.SharedWorkers():
-                self.rows = pool.WorkerRows(rows=message.rows)
-            case peer_messages.SharedDirectory():
-                self.directory.merge(message.instances)
-            case peer_messages.SharedConfig():
-                self.configuration.apply(message.body, self.term.allocator)
             case peer_messages.Retiring():
                 self.decision_log.log_event(
                     'allocator_retired', token=self.term.token
@@ -151,6 +166,13 @@
                 self.record_link_loss(link)
             case messages.Begun() | messages.Ended() | messages.GivenUp():
                 self.job_owner.receive(message)
+            case agent_messages.LaunchRuns():
+                self.job_launcher.launch(message)
+            case agent_messages.LaunchMode():
+                self.job_owner.launches = message.owners_launch
+            case _:
+                self.shared_state.receive(message, self.term.allocator)
+                self.worker_agent.receive(message)
 
     def is_allocator_alive(self) -> bool:
         """Return whether a message has come within the allocator timeout."""
@@ -163,7 +185,8 @@
 
     def drop_unresponsive(self) -> None:
         """Close the link to an allocator that has timed out."""
-        if self.link is not None and not self.is_allocator_alive():
+        on_time = self.stall_guard.is_on_time(self.timers.now())
+        if on_time and self.link is not None and not self.is_allocator_alive():
             self.decision_log.log_event(
                 'allocator_silent',
                 token=self.term.token,
@@ -179,6 +202,7 @@
         if link is not self.link:
             return
         self.link = None
+        self.worker_agent.unfollow()
         self.job_owner.on_allocator_lost()
         self.decision_log.log_event(
             'allocator_lost',
--- a/packages/guavaroad/src/guavaroad/services/pool/dependencies.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/dependencies.py
@@ -1,4 +1,4 @@
-"""The ports and services that all parts of a pool instance use."""
+"""What the parts of a pool instance share."""
 
 import dataclasses
 
@@ -17,6 +17,7 @@
         dialler: Opens links to other instances.
         timers: Clock and delayed calls.
         decision_log: Structured log of decisions.
+        link_bytes_per_s: Capacity of this machine's link, in bytes a second.
     """
 
     workers: pool.WorkersPort
@@ -25,3 +26,4 @@
     dialler: instance_links.DiallerPort
     timers: timers.TimerService
     decision_log: decision_log.DecisionLog
+    link_bytes_per_s: float
--- a/packages/guavaroad/src/guavaroad/services/pool/heartbeat_responder.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/heartbeat_responder.py
@@ -4,15 +4,22 @@
 
 from twisted.internet import defer
 
-from guavaroad.domain.pool import peer_messages, resend_backoff, values
+from guavaroad.domain.pool import (
+    election,
+    list_relay,
+    peer_messages,
+    resend_backoff,
+    values,
+)
 from guavaroad.ports import pool, timers
-from guavaroad.services.pool import configuration_watch, instance_links
+from guavaroad.services.pool import (
+    configuration_watch,
+    directory,
+    instance_links,
+)
 
-# Age of the allocator's worker list, in milliseconds, above which its
-# followers read the list for it. The allocator itself reads it every 500 ms
-# while it reaches the store.
-STALE_LIST_MS: Final = 1100
-# Minimum interval between two such reads, in seconds.
+# Minimum interval between two reads of the worker list for the allocator, in
+# seconds.
 READ_INTERVAL_S: Final = 0.7
 
 
@@ -27,10 +34,12 @@
     def __init__(
         self,
         *,
+        instance_directory: directory.Directory,
         cluster: pool.ClusterPort,
         configuration: configuration_watch.ConfigurationWatch,
         timer_service: timers.TimerService,
     ) -> None:
+        self.directory = instance_directory
         self.cluster = cluster
         self.configuration = configuration
         self.timers = timer_service
@@ -41,7 +50,7 @@
         self,
         link: instance_links.LinkPort,
         beat: peer_messages.AllocatorBeat,
-        allocator: values.InstanceName,
+        term: election.Term,
     ) -> None:
         """Answer a heartbeat.
 
@@ -53,14 +62,28 @@
         link.send(peer_messages.OwnerBeat(config_version=newest))
         served = beat.config_version
         if self.resend_backoff.is_due(
-            allocator, served_version=served, newest_version=newest, now_s=now_s
+            term.allocator,
+            served_version=served,
+            newest_version=newest,
+            now_s=now_s,
         ):
             link.send(self.configuration.to_message())
         is_due = now_s - self.last_read_s > READ_INTERVAL_S
-        if beat.list_age_ms > STALE_LIST_MS and is_due:
+        if is_due and list_relay.is_relay(
+            name=self.directory.local_instance.name,
+            ranked=self.relay_order(term),
+            list_age_ms=beat.list_age_ms,
+        ):
             self.last_read_s = now_s
             defer.ensureDeferred(self.send_worker_rows(link))
 
+    def relay_order(
+        self, term: election.Term
+    ) -> tuple[values.InstanceName, ...]:
+        """Return the successors, and then all other instances by name."""
+        others = self.directory.instances.keys() - term.successors
+        return (*term.successors, *sorted(others))
+
     async def send_worker_rows(self, link: instance_links.LinkPort) -> None:
         """Read the worker list from the store and send it to the allocator."""
         read = await self.cluster.workers()
--- a/packages/guavaroad/src/guavaroad/services/pool/instance_links.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/instance_links.py
@@ -1,5 +1,6 @@
 """Links from a candidate or an allocator to every known instance."""
 
+import collections
 import enum
 from collections.abc import Callable
 from typing import Any, Final, Protocol
@@ -10,6 +11,12 @@
 
 # Delay before an instance is dialled again, in seconds.
 REDIAL_DELAY_S: Final = 0.25
+# Consecutive failed dials after which an instance counts as gone: about ten
+# seconds, longer than most partitions. Its row stays in the directory; when it
+# returns, its election poll calls for a dial.
+GONE_AFTER_FAILURES: Final = 16
+# Delay before an instance that counts as gone is dialled again, in seconds.
+GONE_REDIAL_DELAY_S: Final = 2
 
 
 class Loss(enum.Enum):
@@ -25,8 +32,10 @@
     Attributes:
         on_message: Called with each message that is received.
         on_lost: Called when the connection is lost.
+        sent_s: Time of the last message that was sent, in seconds.
     """
 
+    sent_s: float
     on_message: Callable[[Any], object]
     on_lost: Callable[[], object]
 
@@ -63,7 +72,7 @@
         last_received_s: When the last message arrived, by instance.
         dialling: Instances that are being dialled, or are within the delay
             before they are dialled again.
-        failed: Instances whose last dial failed.
+        failed: Consecutive failed dials, by instance.
         closed: Whether the links were closed for good.
         last_redial_s: When `dial_again` last dialled.
         on_link: Called with each new link.
@@ -84,7 +93,9 @@
         self.links: dict[values.InstanceName, LinkPort] = {}
         self.last_received_s: dict[values.InstanceName, float] = {}
         self.dialling: set[values.InstanceName] = set()
-        self.failed: set[values.InstanceName] = set()
+        self.failed: collections.Counter[values.InstanceName] = (
+            collections.Counter()
+        )
         self.closed = False
         self.last_redial_s = float(0)
         self.on_link: Callable[[values.InstanceName, LinkPort], object] = (
@@ -127,7 +138,7 @@
     def add_link(self, name: values.InstanceName, link: LinkPort) -> None:
         """Use a new link, unless the instance has one already."""
         self.dialling.discard(name)
-        self.failed.discard(name)
+        self.failed.pop(name, None)
         if self.closed or name in self.links:
             link.abort()
             return
@@ -139,10 +150,10 @@
 
     def record_dial_failure(self, name: values.InstanceName) -> None:
         """Allow the next dial of an instance after a delay."""
-        self.failed.add(name)
-        self.timers.call_after(
-            REDIAL_DELAY_S, lambda: self.dialling.discard(name)
-        )
+        self.failed[name] += 1
+        is_gone = self.failed[name] >= GONE_AFTER_FAILURES
+        delay_s = GONE_REDIAL_DELAY_S if is_gone else REDIAL_DELAY_S
+        self.timers.call_after(delay_s, lambda: self.dialling.discard(name))
 
     def receive(
         self, name: values.InstanceName, link: LinkPort, message: Any
--- a/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
@@ -7,7 +7,12 @@
 from typing import Any, Final, Protocol
 
 from guavaroad.domain import units
-from guavaroad.domain.pool import messages, open_jobs, peer_messages, values
+from guavaroad.domain.pool import (
+    messages,
+    open_jobs,
+    peer_messages,
+    values,
+)
 from guavaroad.ports import timers
 from guavaroad.services.pool import decision_log
 
@@ -35,6 +40,8 @@
         jobs: Open jobs by id.
         link: Link to the allocator, if there is one.
         token: Token of the allocator that was last linked.
+        launches: Whether this instance sends the start orders of its jobs, as
+            the allocator asks for.
     """
 
     def __init__(
@@ -43,6 +50,7 @@
         timer_service: timers.TimerService,
         log: decision_log.DecisionLog,
     ) -> None:
+        self.launches = False
         self.timers = timer_service
         self.decision_log = log
         self.jobs: dict[values.JobId, open_jobs.OpenJob] = {}
@@ -98,7 +106,11 @@
     def declare(self, job: open_jobs.OpenJob) -> None:
         """Declare a job to the allocator."""
         if self.link is not None:
-            self.link.send(job.declaration(self.timers.now()))
+            self.link.send(
+                job.declaration(
+                    self.timers.now(), with_payload=not self.launches
+                )
+            )
             job.declared = True
             job.was_declared = True
 
@@ -126,7 +138,12 @@
             self.finish(job, open_jobs.OutcomeUnknown(reason='client_left'))
 
     def on_allocator_linked(
-        self, link: Sender, token: values.Token, *, has_declared_jobs: bool
+        self,
+        link: Sender,
+        token: values.Token,
+        *,
+        has_declared_jobs: bool,
+        launches: bool,
     ) -> None:
         """Declare every open job to an allocator.
 
@@ -135,7 +152,9 @@
             token: Its token.
             has_declared_jobs: Whether it still has the jobs that this instance
                 declared to it before.
+            launches: Whether this instance sends the start orders.
         """
+        self.launches = launches
         is_confirmed = token == self.token and has_declared_jobs
         self.link = link
         self.token = token
--- a/packages/guavaroad/src/guavaroad/services/pool/orders.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/orders.py
@@ -5,6 +5,7 @@
 
 from guavaroad.domain.pool import actions, allocator, outcomes
 from guavaroad.ports import pool, timers
+from guavaroad.services.pool import agent_calls
 
 
 class OrderSender:
@@ -12,7 +13,7 @@
 
     Attributes:
         machine: Allocator that the outcomes are recorded with.
-        workers: Connections to the workers.
+        workers: Calls to the workers.
         on_change: Called when an outcome may change a decision.
         on_fenced: Called when a worker has seen a higher token.
     """
@@ -21,7 +22,7 @@
         self,
         *,
         machine: allocator.Allocator,
-        workers: pool.WorkersPort,
+        workers: agent_calls.AgentCalls,
         timer_service: timers.TimerService,
         on_change: Callable[[], object],
         on_fenced: Callable[[], object],
@@ -35,15 +36,7 @@
     def start(self, action: actions.StartRun) -> None:
         """Order a worker to start a run."""
         self.workers.start(
-            action.worker_id,
-            pool.StartOrder(
-                task=action.task,
-                number=action.number,
-                payload=action.payload,
-                until_ms=action.until_ms,
-                token=self.machine.state.token,
-            ),
-            functools.partial(self.on_start_outcome, action),
+            action, functools.partial(self.on_start_outcome, action)
         )
 
     def on_start_outcome(
--- a/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
@@ -22,7 +22,10 @@
     dependencies,
     directory,
     instance_links,
+    instance_parts,
+    job_launcher,
     job_owner,
+    shared_state,
 )
 
 # Period of checking whether the allocator has timed out, in seconds.
@@ -42,6 +45,7 @@
     """Accepts jobs, and allocates while it holds the token.
 
     Attributes:
+        parts: Parts that it also uses as the allocator.
         job_owner: Jobs of the clients of this instance.
         configuration: Configuration in force.
         allocator_follower: Link to the current allocator.
@@ -65,9 +69,6 @@
         self.timers = deps.timers
         self.decision_log = deps.decision_log
         self.directory = directory.Directory(local_instance=local_instance)
-        self.job_owner = job_owner.JobOwner(
-            timer_service=deps.timers, log=deps.decision_log
-        )
         self.configuration = configuration_watch.ConfigurationWatch(
             cluster=deps.cluster,
             codec=deps.codec,
@@ -75,10 +76,24 @@
             log=deps.decision_log,
             on_change=on_configuration,
         )
-        self.allocator_follower = allocator_follower.AllocatorFollower(
-            owner=self.job_owner,
+        self.parts = instance_parts.create_parts(
             instance_directory=self.directory,
             configuration=self.configuration,
+            deps=deps,
+        )
+        self.job_owner = job_owner.JobOwner(
+            timer_service=deps.timers, log=deps.decision_log
+        )
+        self.allocator_follower = allocator_follower.AllocatorFollower(
+            agent=self.parts.agent,
+            launcher=job_launcher.JobLauncher(
+                owner=self.job_owner, starter=self.parts.starter
+            ),
+            state=shared_state.SharedState(
+                instance_directory=self.directory,
+                configuration=self.configuration,
+                codec=deps.codec,
+            ),
             cluster=deps.cluster,
             timer_service=deps.timers,
             log=deps.decision_log,
@@ -167,11 +182,12 @@
             term=term,
             links=links,
             deps=self.dependencies,
-            instance_directory=self.directory,
-            configuration=self.configuration,
+            parts=self.parts,
             on_fenced=self.on_fenced,
         )
-        self.active_allocator.start(self.allocator_follower.rows)
+        self.active_allocator.start(
+            self.allocator_follower.shared_state.worker_rows()
+        )
 
     def on_term(self, term: election.Term) -> None:
         """Step down if another allocator has a higher token."""
--- a/packages/guavaroad/src/guavaroad/services/pool/status_poller.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/status_poller.py
@@ -11,6 +11,7 @@
 
 from guavaroad.domain.pool import allocator, outcomes, values
 from guavaroad.ports import pool, timers
+from guavaroad.services.pool import agent_calls
 
 # Time that a worker waits for a run to end before it answers, in milliseconds.
 # Half of a lease, so that one lost answer does not end the lease.
@@ -18,8 +19,10 @@
 # Interval between polls of a worker that reports unclaimed runs, in seconds.
 # Such polls do not wait at the worker, and a stop takes about 50 ms.
 UNCLAIMED_RUNS_INTERVAL_S: Final = 0.05
-# Delay after a failed poll, in seconds.
-RETRY_DELAY_S: Final = 0.15
+# Range of the delay after a failed poll, in seconds. Polls that failed at once,
+# as those across a partition do, are spread, so that one of them soon shows
+# that the path works again.
+RETRY_DELAY_RANGE_S: Final = (0.05, 0.25)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -48,7 +51,7 @@
         self,
         *,
         machine: allocator.Allocator,
-        workers: pool.WorkersPort,
+        workers: agent_calls.AgentCalls,
         timer_service: timers.TimerService,
         on_change: Callable[[], object],
         on_fenced: Callable[[], object],
@@ -130,6 +133,9 @@
         outcome: outcomes.RunReport | outcomes.Refused | outcomes.NoAnswer,
     ) -> None:
         """Process the outcome of an extra poll."""
+        if isinstance(outcome, outcomes.RunReport):
+            answer_s = self.timers.now() - sent_s
+            self.machine.reports.answer_times.record(answer_s)
         has_ends = self.record_if_report(poll_state, sent_s, outcome)
         if has_ends and not poll_state.is_reset:
             # The waiting poll should have returned these ends: its answer was
@@ -187,6 +193,9 @@
                 self.schedule_next(poll_state)
             case outcomes.Refused(reason=outcomes.Refusal.FENCED):
                 self.on_fenced()
+            case outcomes.NoAnswer(is_agent_lost=True):
+                poll_state.is_reset = True
+                self.retry(poll_state)
             case _:
                 self.record_failure(poll_state, outcome)
 
@@ -216,6 +225,9 @@
             poll_state.worker_id, detail, self.timers.now()
         )
         self.on_change()
-        self.timers.call_after(
-            RETRY_DELAY_S, lambda: self.send_poll(poll_state)
-        )
+        self.retry(poll_state)
+
+    def retry(self, poll_state: PollState) -> None:
+        """Poll again after a delay."""
+        delay_s = self.machine.state.random.uniform(*RETRY_DELAY_RANGE_S)
+        self.timers.call_after(delay_s, lambda: self.send_poll(poll_state))
--- a/packages/guavaroad/src/guavaroad/services/pool/store_reader.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/store_reader.py
@@ -8,6 +8,9 @@
 from guavaroad.ports import platform, pool
 from guavaroad.services.pool import dependencies, directory
 
+WorkerInfos = tuple[worker.WorkerInfo, ...]
+OnRows = Callable[[pool.WorkerRows, WorkerInfos], object]
+
 
 class StoreReader:
     """Keeps the allocator's worker list and directory up to date.
@@ -28,7 +31,7 @@
         instance_directory: directory.Directory,
         deps: dependencies.Dependencies,
         on_change: Callable[[], object],
-        on_rows: Callable[[pool.WorkerRows], object],
+        on_rows: OnRows,
         on_directory: Callable[[], object],
     ) -> None:
         self.machine = machine
@@ -69,7 +72,7 @@
         listed = self.codec.worker_infos(rows)
         if listed != self.worker_infos:
             self.worker_infos = listed
-            self.on_rows(rows)
+            self.on_rows(rows, listed)
         self.machine.update_workers(listed, now_s)
         self.on_change()
 
--- a/standins/src/guavaroad_standins/pool_cluster.py
+++ b/standins/src/guavaroad_standins/pool_cluster.py
@@ -1,5 +1,6 @@
 """In-memory platform store and links between instances."""
 
+import dataclasses
 import functools
 from collections.abc import Callable
 from typing import Any, Final
@@ -120,6 +121,7 @@
     Attributes:
         other: The other end.
         owner: Instance at this end.
+        sent_s: Time of the last message that was sent, in seconds.
     """
 
     def __init__(self, *, network: 'Network', owner: str) -> None:
@@ -127,6 +129,7 @@
         self.owner = owner
         self.other: MemoryLink | None = None
         self.is_open = True
+        self.sent_s = float(0)
         self.on_message: Callable[[Any], object] = _ignore
         self.on_lost: Callable[[], object] = _ignore
 
@@ -136,6 +139,8 @@
         if isinstance(message, peer_messages.SharedConfig):
             self.network.shared_config_count += 1
         if self.is_open and other is not None:
+            self.sent_s = self.network.clock.seconds()
+            self.network.record(self.owner, other.owner, message)
             self.network.deliver(
                 self.owner,
                 other.owner,
@@ -170,6 +175,24 @@
             self.on_lost()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SentMessage:
+    """A message that one instance has sent to another.
+
+    Attributes:
+        sent_s: Time at which it was sent, in seconds.
+        sender: Instance that has sent it.
+        receiver: Instance that it was sent to.
+        message: The message.
+    """
+
+    sent_s: float
+    sender: str
+    receiver: str
+    message: Any
+
+
+Delivery = Callable[[], object]
 # Name of an instance and the callback that accepts links to it.
 Listener = tuple[str, Callable[[Any], object]]
 
@@ -181,6 +204,9 @@
         listeners: Listener of each instance, by address.
         is_cut: Returns whether two instances are partitioned.
         dead: Names of the instances that have stopped.
+        links: Both ends of every link that was opened.
+        held: Deliveries to instances that receive nothing for now.
+        messages: Messages sent.
         shared_config_count: Number of configurations sent.
     """
 
@@ -189,6 +215,9 @@
         self.listeners: dict[str, Listener] = {}
         self.is_cut: Callable[[str, str], bool] = _never
         self.dead: set[str] = set()
+        self.links: list[MemoryLink] = []
+        self.held: dict[str, list[Delivery]] = {}
+        self.messages: list[SentMessage] = []
         self.shared_config_count = 0
 
     def deliver(
@@ -204,9 +233,39 @@
         self, sender: str, receiver: str, action: Callable[[], object]
     ) -> None:
         """Run a delivery unless the receiver is unreachable or stopped."""
-        is_lost = self.is_cut(sender, receiver)
-        if not is_lost and receiver not in self.dead:
+        if self.is_cut(sender, receiver) or receiver in self.dead:
+            return
+        held = self.held.get(receiver)
+        if held is None:
             action()
+        else:
+            held.append(action)
+
+    def record(self, sender: str, receiver: str, message: Any) -> None:
+        """Record a message."""
+        self.messages.append(
+            SentMessage(
+                sent_s=self.clock.seconds(),
+                sender=sender,
+                receiver=receiver,
+                message=message,
+            )
+        )
+
+    def hold(self, receiver: str) -> None:
+        """Hold back what arrives at an instance."""
+        self.held[receiver] = []
+
+    def release(self, receiver: str) -> None:
+        """Deliver what was held back, in order."""
+        for action in self.held.pop(receiver):
+            action()
+
+    def reset_links(self, name: str) -> None:
+        """Report the loss of every link of an instance to its other end."""
+        for link in self.links:
+            if link.owner == name and link.is_open and link.other is not None:
+                self.clock.callLater(LINK_LATENCY_S, link.other.lost)
 
 
 class MemoryDialler:
@@ -246,6 +305,7 @@
         remote = MemoryLink(network=self.network, owner=name)
         local.other = remote
         remote.other = local
+        self.network.links.extend((local, remote))
         accept(remote)
         on_connected(local)
 
--- a/standins/src/guavaroad_standins/pool_worker.py
+++ b/standins/src/guavaroad_standins/pool_worker.py
@@ -318,6 +318,7 @@
         reaches: Returns whether a worker is reachable now.
         poll_count: Number of status polls sent.
         starts: Number of start orders sent, by worker.
+        calls: Number of calls of any kind, by worker.
     """
 
     def __init__(
@@ -332,10 +333,11 @@
         self.reaches = reaches
         self.poll_count = 0
         self.starts: collections.Counter[str] = collections.Counter()
+        self.calls: collections.Counter[str] = collections.Counter()
         self.random = random.Random(len(workers))
         self.is_frozen = False
 
-    def open(self, worker_info: worker.WorkerInfo) -> None:
+    def open(self, worker_id: values.WorkerId, address: str) -> None:
         """Prepare to call a worker."""
 
     def close(self, worker_id: values.WorkerId) -> None:
@@ -354,6 +356,7 @@
         self, worker_id: Any, verb: str, order: Any, on_outcome: Any
     ) -> None:
         """Send an order and pass on its outcome, or a timeout."""
+        self.calls[worker_id] += 1
         answer = _Once(on_outcome)
         timeout = outcomes.NoAnswer(detail='no answer in time')
         self.clock.callLater(ORDER_TIMEOUT_S, answer, timeout)
@@ -386,6 +389,7 @@
     def poll_status(self, worker_id: Any, poll: Any, on_outcome: Any) -> None:
         """Send a status poll to a worker."""
         self.poll_count += 1
+        self.calls[worker_id] += 1
         answer = _Once(on_outcome)
         timeout = outcomes.NoAnswer(detail='no answer in time')
         wait_s = poll.wait_ms / units.MS_PER_S
