Read the worker list by the drain time, and wait for most agents after a takeover

Change: the list is read four times within DrainMs, each 0.25 to 1 s (large site: each 1 s; sites with DrainMs 2,000: as before); the age from which others read it follows. Workers are assigned when four fifths of the linked instances have announced that they are agents, or after 0.3 s.

Ruled out: the store's feed of changes, since every worker changes its row each 1.5 s, which is more than one read a second.

Test: 'A new allocator waits until it knows the agents' fails on the code before with 12 calls.

--- a/Makefile
+++ b/Makefile
@@ -59,12 +59,13 @@
 	rm -rf $(VENV) build
 
 # One seed (SEED=7), or many from the first on (SEEDS=50 FIRST=100), of the usual
-# size or another (INSTANCES=60 WORKERS=150).
+# size or another (INSTANCES=60 WORKERS=150), or with worker agents (LINK_MBPS=1).
 FIRST ?= 1
 INSTANCES ?= 4
 WORKERS ?= 9
+LINK_MBPS ?= 100
 soak: setup
-	$(BIN)/python tools/soak.py --instances=$(INSTANCES) --workers=$(WORKERS) $(or $(SEED),$(shell seq $(FIRST) $$(($(FIRST) + $(or $(SEEDS),3) - 1))))
+	$(BIN)/python tools/soak.py --instances=$(INSTANCES) --workers=$(WORKERS) --link_mbps=$(LINK_MBPS) $(or $(SEED),$(shell seq $(FIRST) $$(($(FIRST) + $(or $(SEEDS),3) - 1))))
 
 # Tables and plots of the bench's journal, in docs/scores.
 report: setup
--- /dev/null
+++ b/features/platform/agents.feature
@@ -0,0 +1,18 @@
+Feature: Processes of the platform program as worker agents
+
+  Background:
+    Given 4 processes with small links and 6 workers
+
+  Scenario: Jobs are served, and starts follow 700 ms after the allocator is killed
+    When 20 jobs of 2 tasks of 50 ms are sent to the processes in turn
+    Then every answer has status 200
+    And no process calls the workers for itself
+    When the allocating process is killed under load
+    Then the workers received a start within 700 ms
+    And the workers report no violated guarantee
+
+  Scenario: Orders that an agent carries out after a pause start nothing twice
+    # What has arrived at a stopped process is carried out when it is resumed.
+    When a process other than the allocating one is frozen under load for 2 s
+    Then the workers report no violated guarantee
+    And exactly one process logs that it allocates
--- a/features/pool/agent_decisions.feature
+++ b/features/pool/agent_decisions.feature
@@ -73,3 +73,15 @@
       | 2     | 50     |
       | 30    | 90     |
       | 200   | 200    |
+
+  Scenario Outline: The worker list is read four times within the drain time
+    Given platform settings with a drain time of <drain>
+    Then the worker list is read each <period> s
+
+    Examples:
+      | drain | period |
+      | 2000  | 0.5    |
+      | 4000  | 1      |
+      | 500   | 0.25   |
+      | 60000 | 1      |
+      | none  | 0.5    |
--- a/features/pool/agents.feature
+++ b/features/pool/agents.feature
@@ -87,6 +87,14 @@
     And every job is complete
     And no invariant is violated
 
+  Scenario: A new allocator waits until it knows the agents
+    # It took all workers itself first: at 297 machines it opened 3,000
+    # connections, and passed the workers on at once.
+    When 2 s pass in the pool
+    And messages between instances take 20 ms
+    And the allocator is killed, and 1 s passes
+    Then the next allocator has called no worker since then
+
   Scenario: Worker rows and the directory are sent as changes
     # All rows went to 16 instances whenever one had changed, and filled a link of
     # 2 Mbit/s while the workers started. intwari-news-large quiet-1 --small.
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -16,6 +16,14 @@
     # suspended, and then accepted again by an allocator that had already
     # released its jobs.
 
+  Scenario Outline: Seed <seed> violates no invariant with worker agents
+    Then the soak of seed <seed> with small links violates no invariant
+
+    Examples:
+      | seed |
+      | 2    |
+      | 3    |
+
   Scenario Outline: An injected violation is reported: <violation>
     Then a soak with <violation> reports the violation
 
--- a/features/steps/agent_decision_steps.py
+++ b/features/steps/agent_decision_steps.py
@@ -17,6 +17,7 @@
     state_digest,
     values,
 )
+from guavaroad_platform import settings
 
 BYTES_PER_MBIT = 125_000
 ALLOCATOR = values.InstanceName('a-4')
@@ -152,7 +153,10 @@
         name
         for name in context.ranked
         if list_relay.is_relay(
-            name=name, ranked=context.ranked, list_age_ms=age
+            name=name,
+            ranked=context.ranked,
+            list_age_ms=age,
+            period_s=0.5,
         )
     ]
     assert relays == context.ranked[:count], len(relays)
@@ -229,3 +233,22 @@
 def then_repeat(context, repeat):
     found = context.times.repeat_interval_s() * 1000
     assert round(found) == repeat, found
+
+
+@behave.given('platform settings with a drain time of {drain}')
+def given_drain(context, drain):
+    bounds = {} if drain == 'none' else {'DrainMs': int(drain)}
+    context.settings = settings.Settings(
+        node_name='i',
+        ip='127.0.0.1',
+        zone='a',
+        internal_ports=(1, 2),
+        listen=settings.ListenAddresses(front='', ready=''),
+        platform=settings.StoreSettings(address=''),
+        bounds=bounds,
+    )
+
+
+@behave.then('the worker list is read each {period:g} s')
+def then_period(context, period):
+    assert context.settings.worker_list_period_s() == period
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -45,6 +45,30 @@
     assert not called, called
 
 
+@behave.when('messages between instances take {ms:d} ms')
+def when_latency(context, ms):
+    context.pool.network.latency_s = ms / 1000
+
+
+@behave.when('the allocator is killed, and {seconds:g} s passes')
+def when_killed(context, seconds):
+    pool = context.pool
+    pool.kill(pool.allocator().name)
+    context.calls_before = {
+        name: sum(calls_of(instance).values())
+        for name, instance in pool.instances.items()
+    }
+    pool.run(seconds)
+
+
+@behave.then('the next allocator has called no worker since then')
+def then_next_calls_none(context):
+    allocator = context.pool.allocator()
+    made = sum(calls_of(allocator).values())
+    made -= context.calls_before[allocator.name]
+    assert not made, made
+
+
 @behave.then('only the allocator has called workers')
 def then_only_allocator(context):
     allocator = context.pool.allocator().name
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -19,6 +19,29 @@
     context.fleet.wait_ready()
 
 
+@behave.given('{count:d} processes with small links and {workers:d} workers')
+def given_small_links(context, count, workers):
+    context.fleet = platform_fleet.PlatformFleet(
+        instances=count,
+        workers=workers,
+        link_mbps=platform_fleet.SMALL_LINK_MBPS,
+    )
+    context.fleet.wait_ready()
+
+
+@behave.then('no process calls the workers for itself')
+def then_agents_call(context):
+    fleet = context.fleet
+    modes = [
+        event
+        for process in fleet.processes
+        for event in process.log_events()
+        if event['event'] == 'call_mode'
+    ]
+    assert not any(event['direct'] for event in modes), modes
+    assert fleet.starts()
+
+
 @behave.when(
     '{count:d} jobs of {tasks:d} tasks of {ms:d} ms are sent to the processes in turn'
 )
@@ -99,6 +122,22 @@
     signal_allocator(context, signal.SIGSTOP)
 
 
+@behave.when(
+    'a process other than the allocating one is frozen under load for {seconds:g} s'
+)
+def when_other_frozen(context, seconds):
+    fleet = context.fleet
+    fleet.load(1, 30, work_ms=300)
+    allocating = fleet.allocating_process()
+    frozen = next(
+        process for process in fleet.processes if process is not allocating
+    )
+    frozen.signal(signal.SIGSTOP)
+    fleet.load(seconds, 30, work_ms=300)
+    frozen.signal(signal.SIGCONT)
+    fleet.load(1.5, 30, work_ms=300)
+
+
 @behave.when('the frozen process is resumed')
 def when_resumed(context):
     context.target.signal(signal.SIGCONT)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from support import soak, soak_violations
+from support import platform_fleet, soak, soak_violations
 
 INJECTION_SEED = 1
 INJECTION_SIZE = soak.Size(faults=0)
@@ -15,6 +15,14 @@
     assert not violations, (run.steps, violations[:5], str(run.fleet.folder))
 
 
+@behave.then('the soak of seed {seed:d} with small links violates no invariant')
+def then_no_violation_by_agents(_, seed):
+    size = soak.Size(link_mbps=platform_fleet.SMALL_LINK_MBPS)
+    run = soak.Soak(seed, size)
+    violations = run.run()
+    assert not violations, (run.steps, violations[:5], str(run.fleet.folder))
+
+
 @behave.then('a soak with {violation} reports the violation')
 def then_violation_reported(_, violation):
     inject, expected = soak_violations.VIOLATIONS[violation]
--- a/features/support/mixed_pool.py
+++ b/features/support/mixed_pool.py
@@ -14,10 +14,18 @@
 ENDED_EVENTS = frozenset(('job_completed', 'job_failed'))
 
 
-def check_pool(builds):
+def check_agents(builds):
+    """Replace allocators while instances of one build are worker agents."""
+    return check_pool(builds, platform_fleet.SMALL_LINK_MBPS)
+
+
+def check_pool(builds, link_mbps=platform_fleet.LARGE_LINK_MBPS):
     """Replace allocators by each kind of fault; yield what was done."""
     pool = platform_fleet.PlatformFleet(
-        instances=4, workers=6, pythons=tuple(builds.pythons.values())
+        instances=4,
+        workers=6,
+        pythons=tuple(builds.pythons.values()),
+        link_mbps=link_mbps,
     )
     with contextlib.ExitStack() as stack:
         stack.callback(pool.stop)
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -31,12 +31,18 @@
 [Listen]
 Front = "{ip}:21001"
 Ready = "{ip}:21002"
+[Limits]
+LinkMbps = {link_mbps}
 [Bounds]
 GraceS = 6
 [platform]
 Address = "{store}"
 """
 PROXY_PORT_OFFSET = 1000
+# With the larger link the allocator calls all workers itself; with the smaller
+# one every instance is a worker agent.
+LARGE_LINK_MBPS = 100
+SMALL_LINK_MBPS = 1
 # Concurrent clients. The clients of two suspended processes wait for 10 s each.
 MAX_CLIENTS = 200
 METRICS_PORT = 19105
@@ -132,7 +138,11 @@
         self.settings = fleet.folder / f'{name}.toml'
         self.settings.write_text(
             SETTINGS.format(
-                name=name, zone=zone, ip=self.ip, store=format_address(store)
+                name=name,
+                zone=zone,
+                ip=self.ip,
+                store=format_address(store),
+                link_mbps=fleet.link_mbps,
             )
         )
         self.log = fleet.folder / f'{name}.log'
@@ -206,6 +216,7 @@
     """The stand-in platform, processes of the program, and clients.
 
     Attributes:
+        link_mbps: Capacity of each process's link by its settings, in Mbit/s.
         proxy: Proxy for all connections between them, if there is one.
         worker_routes: Routes through the proxy to the workers, by id.
         answers: Responses that clients got.
@@ -221,7 +232,9 @@
         zones=('a', 'b', 'c'),
         proxy=None,
         pythons=(sys.executable,),
+        link_mbps=LARGE_LINK_MBPS,
     ):
+        self.link_mbps = link_mbps
         self.proxy = proxy
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='guavaroad-'))
         self.standin = subprocess.Popen(
--- a/features/support/pool_worlds.py
+++ b/features/support/pool_worlds.py
@@ -21,6 +21,7 @@
 TASK_CPU = 14_000
 # Capacity of an instance's link, as on the users' smaller machines.
 LINK_BYTES_PER_S = 1_500_000
+WORKER_LIST_PERIOD_S = 0.5
 # Timeout of the clients on the users' sites: 1.5 s plus three times the latency
 # objective.
 CLIENT_TIMEOUT_BASE_MS = 1500
@@ -106,6 +107,7 @@
                 ),
                 timers=timer_service,
                 link_bytes_per_s=world.link_bytes_per_s,
+                worker_list_period_s=WORKER_LIST_PERIOD_S,
                 decision_log=decision_log.DecisionLog(
                     writer=self.log,
                     counters=self.log,
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -38,12 +38,14 @@
         workers: Number of workers.
         faults: Number of faults that are drawn.
         jobs_per_s: Jobs that clients submit per second.
+        link_mbps: Capacity of each process's link by its settings, in Mbit/s.
     """
 
     instances: int = 4
     workers: int = 9
     faults: int = 7
     jobs_per_s: int = 25
+    link_mbps: int = platform_fleet.LARGE_LINK_MBPS
 
     def start_timeout_s(self):
         """Return how long all processes may take to start, in seconds."""
@@ -71,6 +73,7 @@
             instances=self.size.instances,
             workers=self.size.workers,
             proxy=self.proxy,
+            link_mbps=self.size.link_mbps,
         )
         self.started_s = time.monotonic()
         self.steps = []
--- a/packages/guavaroad/src/guavaroad/domain/pool/list_relay.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/list_relay.py
@@ -8,12 +8,12 @@
 from collections.abc import Sequence
 from typing import Final
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import values
 
 # Age of the allocator's worker list above which others read the list for it, in
-# milliseconds. The allocator itself reads it every 500 ms while it reaches the
-# store.
-STALE_LIST_MS: Final = 1100
+# periods in which the allocator reads it while it reaches the store.
+STALE_PERIODS: Final = 2.2
 # Instances that read the list first.
 FIRST_RELAYS: Final = 2
 # Time after which twice as many instances read it, in milliseconds: those
@@ -26,6 +26,7 @@
     name: values.InstanceName,
     ranked: Sequence[values.InstanceName],
     list_age_ms: int,
+    period_s: float,
 ) -> bool:
     """Return whether an instance reads the worker list for the allocator.
 
@@ -33,8 +34,9 @@
         name: Name of the instance.
         ranked: Instances in the order in which they are asked.
         list_age_ms: Age of the allocator's worker list, in milliseconds.
+        period_s: Period in which the allocator reads it, in seconds.
     """
-    overdue_ms = list_age_ms - STALE_LIST_MS
+    overdue_ms = list_age_ms - units.to_ms(STALE_PERIODS * period_s)
     if overdue_ms <= 0 or name not in ranked:
         return False
     relays = FIRST_RELAYS << overdue_ms // DOUBLING_MS
--- a/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
@@ -28,9 +28,6 @@
 TICK_PERIOD_S: Final = 0.02
 # Period of checking links, agents and calls for time-outs, in seconds.
 LINK_CHECK_PERIOD_S: Final = 0.05
-# Period of reading the worker list, in seconds. A worker that drains must get
-# no more work 2 s later.
-WORKERS_PERIOD_S: Final = 0.5
 # Period of reading the directory of instances, in seconds.
 DIRECTORY_PERIOD_S: Final = 1
 
@@ -165,7 +162,10 @@
             subscribe(TICK_PERIOD_S, self.tick),
             subscribe(election.HEARTBEAT_PERIOD_S, self.heartbeats.send_all),
             subscribe(LINK_CHECK_PERIOD_S, self.heartbeats.check),
-            subscribe(WORKERS_PERIOD_S, self.store_reader.read_workers),
+            subscribe(
+                self.dependencies.worker_list_period_s,
+                self.store_reader.read_workers,
+            ),
             subscribe(DIRECTORY_PERIOD_S, self.store_reader.read_directory),
         ]
         if inherited is not None:
--- a/packages/guavaroad/src/guavaroad/services/pool/agent_assignments.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/agent_assignments.py
@@ -23,10 +23,13 @@
 # half heartbeats. Its workers move to other agents well before their leases
 # lapse.
 AGENT_SUSPECT_S: Final = 0.25
-# Time after a takeover in which no worker is assigned unless every linked
-# instance has announced whether it is an agent, in seconds. Otherwise the first
-# agents would get all workers, and pass them on again at once.
-SETTLE_S: Final = 0.03
+# After a takeover no worker is assigned until most of the linked instances have
+# announced that they are agents. Otherwise the allocator, which is the first of
+# them, would open connections to all workers, and pass them on at once.
+SETTLED_SHARE: Final = 0.8
+# Time after which workers are assigned all the same, in seconds: instances of
+# older builds announce nothing.
+SETTLE_TIMEOUT_S: Final = 0.3
 # Unanswered polls, without any answer of the worker between them, after which
 # the next agent is tried. Fewer may be lost answers.
 FAILURES_TO_MOVE: Final = 3
@@ -173,9 +176,14 @@
 
     def is_settled(self) -> bool:
         """Return whether workers may be assigned to agents yet."""
-        if self.is_direct or self.timers.now() - self.created_s > SETTLE_S:
+        waited_s = self.timers.now() - self.created_s
+        if self.is_direct or waited_s > SETTLE_TIMEOUT_S:
             return True
-        return all(name in self.announced for name in self.links.links)
+        linked = self.links.links
+        announced = self.announced.keys() & linked.keys()
+        return bool(announced) and (
+            len(announced) >= SETTLED_SHARE * len(linked)
+        )
 
     def agent_of(self, assigned: AssignedWorker) -> values.InstanceName:
         """Return the agent of a worker; assign it to one if needed."""
--- a/packages/guavaroad/src/guavaroad/services/pool/allocator_follower.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/allocator_follower.py
@@ -12,9 +12,8 @@
     peer_messages,
     stall_guard,
 )
-from guavaroad.ports import pool, timers
 from guavaroad.services.pool import (
-    decision_log,
+    dependencies,
     heartbeat_responder,
     instance_links,
     job_launcher,
@@ -45,25 +44,24 @@
         agent: worker_agent.WorkerAgent,
         launcher: job_launcher.JobLauncher,
         state: shared_state.SharedState,
-        cluster: pool.ClusterPort,
-        timer_service: timers.TimerService,
-        log: decision_log.DecisionLog,
+        deps: dependencies.Dependencies,
     ) -> None:
         self.job_owner = launcher.job_owner
         self.job_launcher = launcher
         self.worker_agent = agent
         self.shared_state = state
-        self.timers = timer_service
-        self.decision_log = log
+        self.timers = deps.timers
+        self.decision_log = deps.decision_log
         self.term = election.NO_TERM
         self.link: instance_links.LinkPort | None = None
-        self.last_received_s = timer_service.now()
+        self.last_received_s = deps.timers.now()
         self.stall_guard = stall_guard.StallGuard(now_s=self.last_received_s)
         self.heartbeat_responder = heartbeat_responder.HeartbeatResponder(
             instance_directory=state.directory,
-            cluster=cluster,
+            cluster=deps.cluster,
+            list_period_s=deps.worker_list_period_s,
             configuration=state.configuration,
-            timer_service=timer_service,
+            timer_service=deps.timers,
         )
         self.on_term: Callable[[election.Term], object] = _ignore
         self.on_lost: Callable[[], object] = _ignore
--- a/packages/guavaroad/src/guavaroad/services/pool/dependencies.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/dependencies.py
@@ -18,6 +18,8 @@
         timers: Clock and delayed calls.
         decision_log: Structured log of decisions.
         link_bytes_per_s: Capacity of this machine's link, in bytes a second.
+        worker_list_period_s: Period in which the allocator reads the worker
+            list, in seconds.
     """
 
     workers: pool.WorkersPort
@@ -27,3 +29,4 @@
     timers: timers.TimerService
     decision_log: decision_log.DecisionLog
     link_bytes_per_s: float
+    worker_list_period_s: float
--- a/packages/guavaroad/src/guavaroad/services/pool/heartbeat_responder.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/heartbeat_responder.py
@@ -27,6 +27,8 @@
     """Answers heartbeats of the allocator.
 
     Attributes:
+        list_period_s: Period in which the allocator reads the worker list, in
+            seconds.
         resend_backoff: Decides when the allocator is sent the configuration.
         last_read_s: When the worker list was last read for the allocator.
     """
@@ -36,11 +38,13 @@
         *,
         instance_directory: directory.Directory,
         cluster: pool.ClusterPort,
+        list_period_s: float,
         configuration: configuration_watch.ConfigurationWatch,
         timer_service: timers.TimerService,
     ) -> None:
         self.directory = instance_directory
         self.cluster = cluster
+        self.list_period_s = list_period_s
         self.configuration = configuration
         self.timers = timer_service
         self.resend_backoff = resend_backoff.ResendBackoff()
@@ -73,6 +77,7 @@
             name=self.directory.local_instance.name,
             ranked=self.relay_order(term),
             list_age_ms=beat.list_age_ms,
+            period_s=self.list_period_s,
         ):
             self.last_read_s = now_s
             defer.ensureDeferred(self.send_worker_rows(link))
--- a/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
@@ -94,9 +94,7 @@
                 configuration=self.configuration,
                 codec=deps.codec,
             ),
-            cluster=deps.cluster,
-            timer_service=deps.timers,
-            log=deps.decision_log,
+            deps=deps,
         )
         self.candidate = candidate.Candidate(
             follower=self.allocator_follower,
--- a/standins/src/guavaroad_standins/pool_cluster.py
+++ b/standins/src/guavaroad_standins/pool_cluster.py
@@ -204,6 +204,7 @@
         listeners: Listener of each instance, by address.
         is_cut: Returns whether two instances are partitioned.
         dead: Names of the instances that have stopped.
+        latency_s: Time that a message takes, in seconds.
         links: Both ends of every link that was opened.
         held: Deliveries to instances that receive nothing for now.
         messages: Messages sent.
@@ -215,6 +216,7 @@
         self.listeners: dict[str, Listener] = {}
         self.is_cut: Callable[[str, str], bool] = _never
         self.dead: set[str] = set()
+        self.latency_s = LINK_LATENCY_S
         self.links: list[MemoryLink] = []
         self.held: dict[str, list[Delivery]] = {}
         self.messages: list[SentMessage] = []
@@ -226,7 +228,7 @@
         """Schedule a delivery from one instance to another."""
         if sender not in self.dead and not self.is_cut(sender, receiver):
             self.clock.callLater(
-                LINK_LATENCY_S, self.arrive, sender, receiver, action
+                self.latency_s, self.arrive, sender, receiver, action
             )
 
     def arrive(
--- a/tools/mixed_builds.py
+++ b/tools/mixed_builds.py
@@ -10,6 +10,8 @@
   allocators are killed, stopped and paused, until each kind of fault led to an
   election each way; then `guavaroadctl explain` of each build reads the logs
   of both.
+- `agents`: the same with links so small that instances of this build are worker
+  agents.
 """
 
 import pathlib
@@ -33,6 +35,7 @@
         'entry': mixed_entry.check_side_by_side,
         'data': mixed_entry.check_stored_data,
         'pool': mixed_pool.check_pool,
+        'agents': mixed_pool.check_agents,
     }
 )
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,6 +1,7 @@
 """Runs the soak test: `make soak SEED=n`, or `make soak SEEDS=50`.
 
-A larger fleet: `make soak SEED=n INSTANCES=60 WORKERS=150`.
+A larger fleet: `make soak SEED=n INSTANCES=60 WORKERS=150`; worker agents:
+`make soak SEED=n LINK_MBPS=1`.
 """
 
 import pathlib
@@ -33,6 +34,12 @@
     'Jobs submitted per second.',
     lower_bound=1,
 )
+LINK_MBPS = flags.DEFINE_integer(
+    'link_mbps',
+    DEFAULT_SIZE.link_mbps,
+    'Link of each process in Mbit/s; with 1, all are worker agents.',
+    lower_bound=1,
+)
 
 
 def size_from_flags() -> soak.Size:
@@ -42,6 +49,7 @@
         workers=WORKERS.value,
         faults=FAULTS.value,
         jobs_per_s=JOBS_PER_S.value,
+        link_mbps=LINK_MBPS.value,
     )
 
 
