--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -405,10 +405,7 @@
         cancellations = [pool.submit(cancel, second, key) for key in keys]
         # Holding the first tasks leaves later submissions in the queue, where
         # a cancel can still prevent their start.
-        processes.wait_until(
-            lambda: any(map(has_prevented_start, cancellations)),
-            'a cancel of a queued submission',
-        )
+        wait_for_prevented_start(cancellations)
         when_released(context)
         futures.wait([*submissions, *cancellations])
     context.ended = {}
@@ -419,6 +416,21 @@
         context.ended[key] = context.last
 
 
+def wait_for_prevented_start(cancellations):
+    try:
+        processes.wait_until(
+            lambda: any(map(has_prevented_start, cancellations)),
+            'a cancel of a queued submission',
+        )
+    except processes.ConditionTimeoutError as error:
+        answers = [
+            cancellation.result()
+            for cancellation in cancellations
+            if cancellation.done()
+        ]
+        raise AssertionError(answers) from error
+
+
 def has_prevented_start(cancellation):
     return cancellation.done() and cancellation.result()['name'] == 'CANCELLED'
 
