Set up on arm64: build third-party sources in isolation

Cause: without an arm64 wheel pip builds hdrhistogram from its source package, and --no-build-isolation, meant for our own packages, kept that build from its own build requirements.

Change: third-party libraries are installed first, with isolation, then our packages without it and without dependencies; `pip check` compares the two. PIP_CONSTRAINT pins the isolated builds too.

--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,20 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-STAMP := $(VENV)/.ready
+# Names the machine and the Python, so that a carried-over folder is rebuilt.
+BUILT_FOR := $(shell $(PYTHON) -c 'import platform, sysconfig; print(sysconfig.get_platform(), platform.python_version(), sep="-")')
+STAMP := $(VENV)/.ready-$(BUILT_FOR)
 
 .PHONY: setup soak report format lint types scenarios test pages demo bench capacity clean
 
+# The constraints also hold in the isolated builds of third-party sources.
+$(STAMP): export PIP_CONSTRAINT := constraints.txt
 $(STAMP): pyproject.toml constraints.txt requirements-dev.txt packages/guavaroad/pyproject.toml packages/guavaroadctl/pyproject.toml standins/pyproject.toml platform/pyproject.toml
-	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -qq --disable-pip-version-check -c constraints.txt setuptools
-	$(BIN)/pip install -qq --disable-pip-version-check --no-build-isolation -c constraints.txt -r requirements-dev.txt -e packages/guavaroad -e packages/guavaroadctl -e standins -e platform
+	$(PYTHON) -m venv --clear $(VENV)
+	$(PYTHON) tools/third_party.py > $(VENV)/third-party.txt
+	$(BIN)/pip install -qq --disable-pip-version-check setuptools -r requirements-dev.txt -r $(VENV)/third-party.txt
+	$(BIN)/pip install -qq --disable-pip-version-check --no-build-isolation --no-deps -e packages/guavaroad -e packages/guavaroadctl -e standins -e platform
+	$(BIN)/pip check -qq --disable-pip-version-check
 	touch $(STAMP)
 
 setup: $(STAMP)
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,9 +2,13 @@
 # Puts the libraries and our own packages into target/deps.
 set -euo pipefail
 deps=target/deps
-stamp=target/.libraries
+# Names the machine and the Python, so that a carried-over folder is rebuilt.
+built_for=$(python3 -c 'import platform, sysconfig; print(sysconfig.get_platform(), platform.python_version(), sep="-")')
+stamp=target/.libraries-$built_for
 if [ ! -e "$stamp" ] || [ deploy/requirements.txt -nt "$stamp" ] || [ constraints.txt -nt "$stamp" ]; then
-    python3 -m pip install -q --disable-pip-version-check -U --target "$deps" -r deploy/requirements.txt
+    rm -rf "$deps" target/.libraries*
+    mkdir -p "$deps"
+    PIP_CONSTRAINT=constraints.txt python3 -m pip install -q --disable-pip-version-check -U --target "$deps" -r deploy/requirements.txt
     touch "$stamp"
 fi
 # A build without changes leaves the files alone: processes may be starting from
