Log what the allocator has on record of a job that is declared again

The allocator now logs `declared_again` with what it found (open, Complete, GivenUp, nothing), and the history of the job at its owner says whether the new link confirmed it. No decision changes. The lookup of earlier declarations moves to a module of its own, earlier_declarations.py.

--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -0,0 +1,94 @@
+"""What the allocator has on record of a job from earlier declarations.
+
+An owner declares a job again when its link is re-established, and another
+instance does when the client sends the job again.
+"""
+
+from guavaroad.domain.pool import (
+    actions,
+    allocator_state,
+    closed_jobs,
+    messages,
+    values,
+)
+
+
+class EarlierDeclarations:
+    """Looks up jobs that are declared again.
+
+    Attributes:
+        state: State of the allocator.
+    """
+
+    def __init__(self, *, state: allocator_state.AllocatorState) -> None:
+        self.state = state
+
+    def log_declared_again(
+        self, owner: values.InstanceName, declared: messages.Declare
+    ) -> None:
+        """Log what is on record of a job that its owner declares again.
+
+        Unconfirmed jobs were declared to another allocator before, which each
+        owner does with all of its jobs.
+
+        Args:
+            owner: Instance that declares the job.
+            declared: Its declaration.
+        """
+        if not declared.redeclared or declared.unconfirmed:
+            return
+        closed = self.state.closed.find(declared.job)
+        found = 'nothing' if closed is None else type(closed).__name__
+        if declared.job in self.state.jobs:
+            found = 'open'
+        self.state.log_event(
+            'declared_again',
+            job=declared.job,
+            owner=owner,
+            age_ms=declared.age_ms,
+            found=found,
+        )
+
+    def resend_ending(
+        self, owner: values.InstanceName, declared: messages.Declare
+    ) -> bool:
+        """Send the owner the result of a job that has ended here.
+
+        A job that was given up and is submitted again by the client is a new
+        job.
+
+        Args:
+            owner: Instance that declares the job.
+            declared: Its declaration.
+
+        Returns:
+            Whether a result was sent.
+        """
+        missed: list[messages.ToOwner] = []
+        match self.state.closed.find(declared.job):
+            case closed_jobs.Complete():
+                missed = [
+                    messages.Ended(
+                        job=declared.job,
+                        index=index,
+                        kind=values.EndKind.DONE,
+                    )
+                    for index, task in enumerate(declared.tasks)
+                    if not task.done
+                ]
+            case messages.GivenUp() as given_up if missed_give_up(declared):
+                missed = [given_up]
+        for message in missed:
+            self.state.add_action(
+                actions.NotifyOwner(owner=owner, message=message)
+            )
+        return bool(missed)
+
+
+def missed_give_up(declared: messages.Declare) -> bool:
+    """Return whether the owner missed the message that gave up its job.
+
+    Unconfirmed jobs were given up because the link was lost, and are admitted
+    again.
+    """
+    return declared.redeclared and not declared.unconfirmed
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -3,11 +3,10 @@
 from typing import Final
 
 from guavaroad.domain.pool import (
-    actions,
     admission,
     allocator_state,
-    closed_jobs,
     declared_jobs,
+    earlier_declarations,
     messages,
     outcomes,
     run_tracker,
@@ -34,6 +33,7 @@
         state: State of the allocator.
         runs: Tracks runs.
         reports: Processes the run reports of workers.
+        earlier: What is on record of a job from earlier declarations.
     """
 
     def __init__(
@@ -46,6 +46,7 @@
         self.state = state
         self.runs = runs
         self.reports = reports
+        self.earlier = earlier_declarations.EarlierDeclarations(state=state)
 
     def declare(
         self,
@@ -61,11 +62,12 @@
             now_s: Current time, in seconds.
         """
         tracked = self.state.jobs.get(declared.job)
+        self.earlier.log_declared_again(owner, declared)
         if tracked is not None:
             self.change_owner(tracked, owner)
             self.resend_missed(tracked, declared)
             return
-        if self.resend_ending(owner, declared):
+        if self.earlier.resend_ending(owner, declared):
             return
         job = declared_jobs.build_job(owner, declared, now_s)
         if self.refuse_if_overloaded(job, now_s):
@@ -78,37 +80,6 @@
             if not declared_task.done:
                 self.resume_task(task, declared_task, now_s)
 
-    def resend_ending(
-        self, owner: values.InstanceName, declared: messages.Declare
-    ) -> bool:
-        """Send the owner the result of a job that has ended here.
-
-        A job that was given up and is submitted again by the client is a new
-        job.
-
-        Returns:
-            Whether a result was sent.
-        """
-        missed: list[messages.ToOwner] = []
-        match self.state.closed.find(declared.job):
-            case closed_jobs.Complete():
-                missed = [
-                    messages.Ended(
-                        job=declared.job,
-                        index=index,
-                        kind=values.EndKind.DONE,
-                    )
-                    for index, task in enumerate(declared.tasks)
-                    if not task.done
-                ]
-            case messages.GivenUp() as given_up if missed_give_up(declared):
-                missed = [given_up]
-        for message in missed:
-            self.state.add_action(
-                actions.NotifyOwner(owner=owner, message=message)
-            )
-        return bool(missed)
-
     def change_owner(self, job: work.Job, owner: values.InstanceName) -> None:
         """Set the owner of a job and notify the previous one."""
         if job.owner == owner:
@@ -278,12 +249,3 @@
         if job is None or job.owner != owner:
             return
         self.runs.give_up(job, values.GiveUpReason.WITHDRAWN)
-
-
-def missed_give_up(declared: messages.Declare) -> bool:
-    """Return whether the owner missed the message that gave up its job.
-
-    Unconfirmed jobs were given up because the link was lost, and are admitted
-    again.
-    """
-    return declared.redeclared and not declared.unconfirmed
--- a/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
@@ -159,9 +159,12 @@
         self.link = link
         self.token = token
         for job in self.jobs.values():
-            job.unconfirmed = job.unconfirmed or (
-                job.was_declared and not is_confirmed
-            )
+            if job.was_declared:
+                job.unconfirmed = job.unconfirmed or not is_confirmed
+                state = 'unconfirmed' if job.unconfirmed else 'confirmed'
+                job.record_event(
+                    'declared_again', job.age_ms(self.timers.now()), state
+                )
             self.declare(job)
 
     def on_allocator_lost(self) -> None:
