Vouch for "not run" only as far back as the record of ended jobs reaches

Cause: an owner that is linked again to the same allocator trusts it to know its jobs. The allocator keeps how a job ended for 2 to 4 s; a job declared again later, found neither open nor among the ended ones, was taken for a new one. The lack of a record was taken for proof.

Evidence: "A job that ran is not reported as not run after 24 (30) resets of its owner's link" failed ("was reported as not run but has started") and the log had declared_again found=nothing; after 20 resets the record was still there.

Fix: the record knows since when it is complete. A job that its owner declares again and that arrived before that may have run, so giving it up has an unknown outcome. Jobs within the record, and new ones, are still refused as not run. This holds by whatever a link is delayed, and whatever the retention is.

--- a/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
@@ -30,12 +30,14 @@
         recent: Results recorded since the last rotation.
         older: Results of the generation before.
         rotated_s: Time of the last rotation.
+        complete_since_s: Every result recorded since then is retained.
     """
 
     def __init__(self, *, now_s: float) -> None:
         self.recent: dict[values.JobId, Ending] = {}
         self.older: dict[values.JobId, Ending] = {}
         self.rotated_s = now_s
+        self.complete_since_s = now_s
 
     def record(self, job_id: values.JobId, ending: Ending) -> None:
         """Record how a job ended."""
@@ -45,9 +47,20 @@
         """Return how a job ended, or None if it is not retained."""
         return self.recent.get(job_id) or self.older.get(job_id)
 
+    def covers(self, since_s: float) -> bool:
+        """Return whether no result recorded since a time was dropped.
+
+        Only then does the lack of a result show that a job has none.
+
+        Args:
+            since_s: The time, in seconds.
+        """
+        return since_s >= self.complete_since_s
+
     def expire(self, now_s: float) -> None:
         """Drop the results whose retention has ended."""
         if now_s - self.rotated_s >= RETENTION_S:
+            self.complete_since_s = self.rotated_s
             self.rotated_s = now_s
             self.older = self.recent
             self.recent = {}
--- a/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -49,6 +49,17 @@
             found=found,
         )
 
+    def may_have_run(
+        self, declared: messages.Declare, *, arrived_s: float
+    ) -> bool:
+        """Return whether a job that is not tracked may have run before.
+
+        Args:
+            declared: Its declaration.
+            arrived_s: When its owner received it, in seconds.
+        """
+        return declared.redeclared and not self.state.closed.covers(arrived_s)
+
     def resend_ending(
         self, owner: values.InstanceName, declared: messages.Declare
     ) -> bool:
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -70,6 +70,9 @@
         if self.earlier.resend_ending(owner, declared):
             return
         job = declared_jobs.build_job(owner, declared, now_s)
+        job.may_have_run_before = self.earlier.may_have_run(
+            declared, arrived_s=job.arrived_s
+        )
         if self.refuse_if_overloaded(job, now_s):
             return
         if declared.unconfirmed:
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -282,7 +282,7 @@
         given_up = messages.GivenUp(
             job=job.job_id,
             reason=reason,
-            may_have_started=job.may_have_started,
+            may_have_started=job.may_have_started or job.may_have_run_before,
             retry_after_ms=retry_after_ms,
             detail=detail,
         )
--- a/packages/guavaroad/src/guavaroad/domain/pool/work.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/work.py
@@ -57,6 +57,8 @@
         give_up_s: Time at which it is given up if no task has started.
         answer_by_s: Time of the client's timeout.
         may_have_started: Whether a start of a task may have reached a worker.
+        may_have_run_before: Whether tasks of it may have run before this
+            allocator tracked it.
         tasks: Its tasks, by index.
         waiting: Tasks that wait for a worker.
         open_tasks: Number of tasks that are not done.
@@ -80,6 +82,7 @@
     give_up_s: float
     answer_by_s: float
     may_have_started: bool = False
+    may_have_run_before: bool = False
     tasks: tuple[Task, ...] = ()
     waiting: list[Task] = dataclasses.field(default_factory=list)
     open_tasks: int = 0
