Refuse no second attempt as not run when the first one may have started

Callers saw 503, "not run", for a job that they had sent before without an answer and of which tasks had started: the promise was about the attempt, not the job.

Cause: the allocator took the declaration of a job by another instance for that of a new job. It had evidence of the first attempt in three places and asked none: its record of jobs that were given up after a start, the runs and ends that workers report, and `unconfirmed` in the owner's declaration, which got lost when the job changed its owner.

Evidence, failing before: "A second attempt is not refused as not run after the first one has started", "... while a worker reports the first one", "... when the first one was unconfirmed", all with "was reported as not run but has started".

Fix: the job is marked as one that may have run before. It is queued, refused and given up as before, only its outcome is unknown then (504), which is true.

Not covered: a second attempt at a new allocator that has no record of the first one, at another instance, when no worker reports a run of it.

--- a/features/pool/promises.feature
+++ b/features/pool/promises.feature
@@ -19,3 +19,42 @@
       | 20     |
       | 24     |
       | 30     |
+
+  Scenario: A second attempt is not refused as not run after the first one has started
+    # The client lost its connection and sent the job again to another instance.
+    When 2 s pass in the pool
+    And a job of 2 tasks of 300 ms is submitted away from the allocator
+    And 0.1 s pass in the pool
+    And its client disconnects
+    And 1.3 s pass in the pool in an overload
+    And the client sends the job again to another instance
+    And 6 s pass in the pool in an overload
+    Then the last job is answered
+    And no invariant is violated
+
+  Scenario: A second attempt is not refused as not run while a worker reports the first one
+    # The next allocator did not know the first attempt, but the worker's report
+    # had its run.
+    When 2 s pass in the pool
+    And a job of 2 tasks of 900 ms is submitted at the allocator
+    And 0.1 s pass in the pool
+    And the allocator is killed
+    And 1.3 s pass in the pool in an overload
+    And the client sends the job again to another instance
+    And 6 s pass in the pool in an overload
+    Then the last job is answered
+    And no invariant is violated
+
+  Scenario: A second attempt is not refused as not run when the first one was unconfirmed
+    # A job of which another allocator may have started tasks changed its owner.
+    When 2 s pass in the pool
+    And a job of 2 tasks of 100 ms is submitted away from the allocator
+    And the link of its owner is reset before it hears of the starts
+    And 0.02 s pass in the pool
+    And the worker of the first start crashes
+    And the allocator is killed
+    And 0.8 s pass in the pool in an overload
+    And the client sends the job again to another instance
+    And 6 s pass in the pool in an overload
+    Then the last job is answered
+    And no invariant is violated
--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -50,3 +50,67 @@
 @behave.then('the last job is answered')
 def then_answered(context):
     assert context.last_job in context.pool.outcomes
+
+
+@behave.when('its client disconnects')
+def when_client_disconnects(context):
+    owner = owner_of_last_job(context)
+    context.owner = owner
+    owner.node.job_owner.on_client_gone(
+        owner.node.job_owner.jobs[context.last_job]
+    )
+
+
+@behave.when('{seconds:g} s pass in the pool in an overload')
+def when_overloaded(context, seconds):
+    pool = context.pool
+    pool.load(seconds, JOBS_PER_S, tasks=4, work_ms=300)
+
+
+@behave.when('the client sends the job again to another instance')
+def when_sent_again(context):
+    pool = context.pool
+    name = next(
+        name
+        for name in reversed(pool.instances)
+        if name not in pool.network.dead
+        and context.last_job not in pool.instances[name].node.job_owner.jobs
+        and pool.instances[name] is not getattr(context, 'owner', None)
+    )
+    send_again(context, name)
+
+
+@behave.when('the client sends the job again to the same instance')
+def when_sent_again_to_owner(context):
+    send_again(context, context.owner.name)
+
+
+def send_again(context, name):
+    pool = context.pool
+    pool.outcomes.pop(context.last_job, None)
+    work_s = pool.history.work_s[f'{context.last_job}.0.0.0']
+    pool.submit(name, tasks=2, work_ms=work_s * 1000, job=context.last_job)
+
+
+@behave.when('every other instance is killed')
+def when_others_killed(context):
+    pool = context.pool
+    for name, instance in pool.instances.items():
+        if instance is not context.owner:
+            pool.kill(name)
+
+
+@behave.when('its owner is cut off from the store')
+def when_owner_without_store(context):
+    node = context.owner.node
+    node.candidate.withdrawn = True
+    node.stop_allocating(retiring=False)
+
+
+@behave.when('the link of its owner is reset before it hears of the starts')
+def when_reset_before_starts(context):
+    pool = context.pool
+    owner = owner_of_last_job(context)
+    context.owner = owner
+    pool.clock.advance(HALF_ROUND_TRIP_S)
+    reset(owner.node.allocator_follower.link)
--- a/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -10,6 +10,7 @@
     closed_jobs,
     messages,
     values,
+    worker_reports,
 )
 
 
@@ -18,10 +19,17 @@
 
     Attributes:
         state: State of the allocator.
+        reports: Processes the run reports of workers.
     """
 
-    def __init__(self, *, state: allocator_state.AllocatorState) -> None:
+    def __init__(
+        self,
+        *,
+        state: allocator_state.AllocatorState,
+        reports: worker_reports.WorkerReports,
+    ) -> None:
         self.state = state
+        self.reports = reports
 
     def log_declared_again(
         self, owner: values.InstanceName, declared: messages.Declare
@@ -58,7 +66,22 @@
             declared: Its declaration.
             arrived_s: When its owner received it, in seconds.
         """
-        return declared.redeclared and not self.state.closed.covers(arrived_s)
+        if declared.redeclared and not self.state.closed.covers(arrived_s):
+            return True
+        match self.state.closed.find(declared.job):
+            case messages.GivenUp(may_have_started=True):
+                return True
+        return declared.unconfirmed or self.has_reported_run(declared)
+
+    def has_reported_run(self, declared: messages.Declare) -> bool:
+        """Return whether a run of a task is or was reported by a worker."""
+        reporting = self.reports.workers_with_unclaimed_runs()
+        return any(
+            task.name in self.state.runs
+            or task.name in self.state.early_ends
+            or any(task.name in found.unclaimed_runs for found in reporting)
+            for task in declared.tasks
+        )
 
     def resend_ending(
         self, owner: values.InstanceName, declared: messages.Declare
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -46,7 +46,9 @@
         self.state = state
         self.runs = runs
         self.reports = reports
-        self.earlier = earlier_declarations.EarlierDeclarations(state=state)
+        self.earlier = earlier_declarations.EarlierDeclarations(
+            state=state, reports=reports
+        )
 
     def declare(
         self,
