Remember at the instance which jobs had an unknown outcome

Callers saw 503 "no_allocator", "not run", for a job that they had sent to the same instance before, and of which tasks had started, when the allocator was lost meanwhile.

Cause: an instance forgets a job when its client disconnects, and took the second attempt for a new job that was never declared.

Evidence: "A second attempt at the same instance is not refused as not run without an allocator" failed with "was reported as not run but has started".

Fix: the ids of declared jobs with an unknown outcome are retained for 5 to 10 s, in the same two generations as the allocator's record of ended jobs; another attempt within that time has an unknown outcome too when it can't be served.

--- a/features/pool/promises.feature
+++ b/features/pool/promises.feature
@@ -45,6 +45,20 @@
     Then the last job is answered
     And no invariant is violated
 
+  Scenario: A second attempt at the same instance is not refused as not run without an allocator
+    # The instance had forgotten the first attempt when its client disconnected.
+    When 2 s pass in the pool
+    And a job of 2 tasks of 900 ms is submitted away from the allocator
+    And 0.1 s pass in the pool
+    And its client disconnects
+    And every other instance is killed
+    And 1.3 s pass in the pool
+    And its owner is cut off from the store
+    And the client sends the job again to the same instance
+    And 6 s pass in the pool
+    Then the last job is answered
+    And no invariant is violated
+
   Scenario: A second attempt is not refused as not run when the first one was unconfirmed
     # A job of which another allocator may have started tasks changed its owner.
     When 2 s pass in the pool
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
@@ -142,6 +142,8 @@
         was_declared: Whether it was declared to any allocator.
         unconfirmed: Whether a lost allocator may have started tasks of it
             without the owner's knowledge.
+        may_have_run_before: Whether the outcome of an earlier attempt at this
+            instance was unknown.
         history: Events so far, for the log of a failure.
         timers: Timers to cancel when the job ends.
     """
@@ -154,12 +156,14 @@
     declared: bool = False
     was_declared: bool = False
     unconfirmed: bool = False
+    may_have_run_before: bool = False
     history: list[str] = dataclasses.field(default_factory=list)
     timers: list[Any] = dataclasses.field(default_factory=list)
 
     def may_have_started(self) -> bool:
         """Return whether a task may have started."""
-        return self.unconfirmed or any(task.run for task in self.tasks)
+        is_unknown = self.unconfirmed or self.may_have_run_before
+        return is_unknown or any(task.run for task in self.tasks)
 
     def age_ms(self, now_s: float) -> int:
         """Return the time since the arrival of the job, in milliseconds."""
--- a/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
@@ -8,6 +8,7 @@
 
 from guavaroad.domain import units
 from guavaroad.domain.pool import (
+    generations,
     messages,
     open_jobs,
     peer_messages,
@@ -24,6 +25,9 @@
 # A job that could not be declared to an allocator is refused after this share
 # of the client's timeout. A takeover takes about half a second.
 UNDECLARED_TIMEOUT_SHARE: Final = 0.42
+# Minimum retention of the ids of jobs with an unknown outcome, in seconds.
+# Clients send such jobs again after 1.3 s.
+UNKNOWN_RETENTION_S: Final = 5
 
 
 class Sender(Protocol):
@@ -42,6 +46,8 @@
         token: Token of the allocator that was last linked.
         launches: Whether this instance sends the start orders of its jobs, as
             the allocator asks for.
+        unknown: Jobs whose outcome was unknown recently: a client may send them
+            again.
     """
 
     def __init__(
@@ -56,6 +62,11 @@
         self.jobs: dict[values.JobId, open_jobs.OpenJob] = {}
         self.link: Sender | None = None
         self.token = values.Token(0)
+        self.unknown: generations.Generations[values.JobId, bool] = (
+            generations.Generations(
+                retention_s=UNKNOWN_RETENTION_S, now_s=timer_service.now()
+            )
+        )
 
     def submit(
         self,
@@ -78,6 +89,8 @@
             self.finish(previous, open_jobs.OutcomeUnknown(reason='sent_again'))
         now_s = self.timers.now()
         job = open_jobs.open_job(request, now_s=now_s, on_outcome=on_outcome)
+        self.unknown.expire(now_s)
+        job.may_have_run_before = bool(self.unknown.find(request.job_id))
         job.unconfirmed = previous is not None
         self.jobs[request.job_id] = job
         if self.link is not None:
@@ -228,6 +241,9 @@
         self.jobs.pop(job.request.job_id)
         for timer in job.timers:
             timer.cancel()
+        is_unknown = isinstance(outcome, open_jobs.OutcomeUnknown)
+        if is_unknown and (job.was_declared or job.may_have_started()):
+            self.unknown.record(job.request.job_id, entry=True)
         self.decision_log.log_job_outcome(
             job, outcome, job.age_ms(self.timers.now())
         )
