Check in the simulated pool that no refused job starts, under random faults

The simulation compared such an answer only with the starts before it, and clients did not send their jobs again. Now every submission of a job and every start is recorded, and a refused job that starts at any time is a violation, also in the scenarios that check the invariants. Instances have a process that can be frozen and killed.

--- a/features/steps/pool_steps.py
+++ b/features/steps/pool_steps.py
@@ -12,6 +12,7 @@
     work,
 )
 from guavaroad.services.pool import instance_links
+from guavaroad_standins import pool_worker
 from support import pool_worlds
 
 
@@ -312,7 +313,9 @@
 
 @behave.then('no invariant is violated')
 def then_no_violation(context):
-    assert not context.pool.history.violations, context.pool.history.violations
+    pool = context.pool
+    found = pool.history.violations + pool.promises.refused_starts()
+    assert not found, found
 
 
 @behave.when('the store is unavailable to all instances')
@@ -459,10 +462,8 @@
             zones=['a', 'b', 'c'], instances=6, workers=12, seed=number
         )
         run_random_cut(pool, number)
-        assert not pool.history.violations, (
-            number,
-            pool.history.violations[:3],
-        )
+        found = pool.history.violations + pool.promises.refused_starts()
+        assert not found, (number, found[:3])
         assert len(pool.allocators()) == 1, number
 
 
@@ -532,14 +533,7 @@
 @behave.when('worker "{name}" restarts under its id')
 def when_restarted(context, name):
     pool = context.pool
-    worker = pool.workers[name]
-    worker.crash()
-    worker.worker_info = restarted(worker.worker_info)
-    worker.is_up = True
-    worker.position = 0
-    worker.token = values.Token(0)
-    worker.stopped = {}
-    worker.lease_until_ms = 0
+    pool_worker.restart(pool.workers[name])
     pool.list_workers()
 
 
@@ -567,14 +561,6 @@
     )
 
 
-def restarted(worker_info):
-    changed = {
-        name: getattr(worker_info, name) for name in type(worker_info).__slots__
-    }
-    changed['started_ms'] = worker_info.started_ms + 1000
-    return type(worker_info)(**changed)
-
-
 @behave.when('{share:d} of 100 calls to workers are lost or carried out late')
 def when_lossy(context, share):
     for worker in context.pool.workers.values():
--- a/features/support/pool_worlds.py
+++ b/features/support/pool_worlds.py
@@ -16,6 +16,7 @@
 )
 from guavaroad.services.pool import decision_log, dependencies, pool_instance
 from guavaroad_standins import pool_cluster, pool_worker
+from support import pool_processes, pool_promises
 
 STEP_S = 0.005
 TASK_CPU = 14_000
@@ -79,19 +80,18 @@
         self.name = name
         self.zone = zone
         self.world = world
-        self.clock = task.Clock()
-        self.clock.rightNow = world.clock.seconds()
+        self.process = pool_processes.SimProcess(clock=world.clock)
         self.log = LogRecorder()
-        self.is_frozen = False
         self.cluster = pool_cluster.MemoryCluster(
-            clock=world.clock, store=world.store
+            clock=self.process, store=world.store
         )
         self.workers = pool_worker.SimWorkers(
             clock=world.clock,
             workers=world.workers,
             reaches=lambda worker: world.reaches(self, worker),
         )
-        timer_service = reactor_timers.ReactorTimers(clock=world.clock)
+        self.workers.run_answer = self.process.execute
+        timer_service = reactor_timers.ReactorTimers(clock=self.process)
         self.node = pool_instance.PoolInstance(
             local_instance=peer_messages.Instance(
                 name=values.InstanceName(name),
@@ -102,8 +102,11 @@
                 workers=self.workers,
                 cluster=self.cluster,
                 codec=Codec(world.store),
-                dialler=pool_cluster.MemoryDialler(
-                    network=world.network, owner=name
+                dialler=pool_processes.ProcessDialler(
+                    dialler=pool_cluster.MemoryDialler(
+                        network=world.network, owner=name
+                    ),
+                    process=self.process,
                 ),
                 timers=timer_service,
                 link_bytes_per_s=world.link_bytes_per_s,
@@ -131,6 +134,39 @@
     )
 
 
+def _accept(_):
+    return True
+
+
+class WaitingClient:
+    """The client of one submission."""
+
+    def __init__(self, *, world, instance, job_id, accept):
+        self.world = world
+        self.instance = instance
+        self.job_id = job_id
+        self.accept = accept
+        self.attempt = world.promises.begin(job_id, instance.name)
+
+    def receive(self, outcome):
+        """Record the answer and check that "not run" is true."""
+        world = self.world
+        is_dead = (
+            self.instance.name in world.network.dead
+            or self.instance.process.is_dead
+        )
+        if is_dead or not self.accept(outcome):
+            return
+        world.promises.answer(self.attempt, outcome)
+        age_s = world.clock.seconds() - world.sent[self.job_id]
+        world.outcomes[self.job_id] = (outcome, age_s)
+        is_started = bool(world.promises.job(self.job_id).starts)
+        if isinstance(outcome, open_jobs.NotRun) and is_started:
+            world.history.violations.append(
+                f'{self.job_id} was reported as not run but has started'
+            )
+
+
 def chain_of(steps):
     """Return the dependencies of steps that run one after another."""
     return tuple((step - 1,) if step else () for step in range(steps))
@@ -154,7 +190,10 @@
         self.store = pool_cluster.MemoryStore()
         self.network = pool_cluster.Network(clock=self.clock)
         self.network.is_cut = self.is_cut
-        self.history = pool_worker.RunHistory()
+        self.promises = pool_promises.Promises(clock=self.clock)
+        self.history = pool_worker.RunHistory(
+            on_start=self.promises.record_start
+        )
         self.cut_zone = None
         self.cut_instances = set()
         self.cut_pairs = set()
@@ -277,6 +316,28 @@
 
         Each step has `tasks` tasks and waits for the step before it.
         """
+        request = self.request(
+            tasks=tasks,
+            work_ms=work_ms,
+            urgency=urgency,
+            job=job,
+            constraint=constraint,
+            steps=steps,
+        )
+        self.hand_in(name, request)
+        return request.job_id
+
+    def request(
+        self,
+        *,
+        tasks=2,
+        work_ms=100,
+        urgency=1,
+        job=None,
+        constraint=constraints.ANYWHERE,
+        steps=1,
+    ):
+        """Return the request for a job."""
         self.count += 1
         job_id = job or f'{self.count:016x}'
         requests = []
@@ -294,7 +355,8 @@
                     constraint=constraint,
                 )
             )
-        request = open_jobs.JobRequest(
+        self.client_timeout_s[job_id] = client_timeout_ms(work_ms) / 1000
+        return open_jobs.JobRequest(
             job_id=values.JobId(job_id),
             pool=names.PoolName('pool'),
             urgency=urgency,
@@ -306,27 +368,24 @@
             after=chain_of(steps),
             tasks=tuple(requests),
         )
-        self.sent[job_id] = self.clock.seconds()
-        self.client_timeout_s[job_id] = client_timeout_ms(work_ms) / 1000
-        self.instances[name].node.job_owner.submit(
-            request, lambda outcome: self.record_outcome(name, job_id, outcome)
-        )
-        return job_id
 
-    def record_outcome(self, name, job_id, outcome):
-        """Record the outcome of a job and check that "not run" is true."""
-        if name in self.network.dead:
-            return
-        now = self.clock.seconds()
-        self.outcomes[job_id] = (outcome, now - self.sent[job_id])
-        if isinstance(outcome, open_jobs.NotRun):
-            started = [
-                start for start in self.history.starts if job_id in start[0]
-            ]
-            if started:
-                self.history.violations.append(
-                    f'{job_id} was reported as not run but has started'
-                )
+    def hand_in(self, name, request, accept=_accept):
+        """Submit a request at an instance, and return its open job.
+
+        Args:
+            name: The instance.
+            request: The request.
+            accept: Called with the outcome; returns whether the client has
+                waited for it.
+        """
+        self.sent[request.job_id] = self.clock.seconds()
+        client = WaitingClient(
+            world=self,
+            instance=self.instances[name],
+            job_id=request.job_id,
+            accept=accept,
+        )
+        return client.instance.node.job_owner.submit(request, client.receive)
 
     def load(self, seconds, per_s, *, names=None, **job):
         """Submit jobs at a constant rate, at each instance in turn."""
--- a/standins/src/guavaroad_standins/pool_worker.py
+++ b/standins/src/guavaroad_standins/pool_worker.py
@@ -31,6 +31,14 @@
 MAX_PERCENT: Final = 99
 
 
+def _ignore(*_: Any) -> None:
+    """Ignore a call."""
+
+
+def _call(action: Callable[[], object]) -> None:
+    action()
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class SimRun:
     """A run on a simulated worker.
@@ -62,6 +70,7 @@
         draining: Time at which a worker began to drain, by id.
         late_starts: Starts too long after the begin of a drain: worker, task,
             begin of the drain, start.
+        on_start: Called with the task of every start.
     """
 
     starts: list[tuple[str, int, str]] = dataclasses.field(default_factory=list)
@@ -74,6 +83,7 @@
     late_starts: list[tuple[str, str, float, float]] = dataclasses.field(
         default_factory=list
     )
+    on_start: Callable[[values.TaskName], object] = _ignore
 
     def record_start(
         self,
@@ -83,6 +93,7 @@
     ) -> None:
         """Record a start, and a violation if the task is already running."""
         self.starts.append((task, number, worker_id))
+        self.on_start(task)
         run_count = self.running.get(task, 0)
         if run_count:
             self.violations.append(f'two runs of {task}')
@@ -311,6 +322,20 @@
         self.is_up = False
 
 
+def restart(sim_worker: SimWorker) -> None:
+    """Start a worker again under its id, without any memory."""
+    sim_worker.crash()
+    sim_worker.worker_info = dataclasses.replace(
+        sim_worker.worker_info,
+        started_ms=sim_worker.worker_info.started_ms + units.MS_PER_S,
+    )
+    sim_worker.is_up = True
+    sim_worker.position = 0
+    sim_worker.token = values.Token(0)
+    sim_worker.stopped = {}
+    sim_worker.lease_until_ms = 0
+
+
 class SimWorkers:
     """Connections of one instance to the workers; implements the port.
 
@@ -319,6 +344,8 @@
         poll_count: Number of status polls sent.
         starts: Number of start orders sent, by worker.
         calls: Number of calls of any kind, by worker.
+        run_answer: Runs the callback of an answer, or holds it while the
+            instance is frozen.
     """
 
     def __init__(
@@ -335,7 +362,7 @@
         self.starts: collections.Counter[str] = collections.Counter()
         self.calls: collections.Counter[str] = collections.Counter()
         self.random = random.Random(len(workers))
-        self.is_frozen = False
+        self.run_answer: Callable[[Callable[[], object]], None] = _call
 
     def open(self, worker_id: values.WorkerId, address: str) -> None:
         """Prepare to call a worker."""
@@ -357,7 +384,7 @@
     ) -> None:
         """Send an order and pass on its outcome, or a timeout."""
         self.calls[worker_id] += 1
-        answer = _Once(on_outcome)
+        answer = self.answer_of(on_outcome)
         timeout = outcomes.NoAnswer(detail='no answer in time')
         self.clock.callLater(ORDER_TIMEOUT_S, answer, timeout)
         sim_worker = self.workers[worker_id]
@@ -366,6 +393,14 @@
             CALL_LATENCY_S, self.deliver_order, sim_worker, execute, answer
         )
 
+    def answer_of(self, on_outcome: Any) -> '_Once':
+        """Return the callback for the first outcome of a call."""
+        return _Once(
+            lambda outcome: self.run_answer(
+                functools.partial(on_outcome, outcome)
+            )
+        )
+
     def deliver_order(
         self, sim_worker: SimWorker, execute: Callable[[], Any], answer: '_Once'
     ) -> None:
@@ -390,7 +425,7 @@
         """Send a status poll to a worker."""
         self.poll_count += 1
         self.calls[worker_id] += 1
-        answer = _Once(on_outcome)
+        answer = self.answer_of(on_outcome)
         timeout = outcomes.NoAnswer(detail='no answer in time')
         wait_s = poll.wait_ms / units.MS_PER_S
         self.clock.callLater(wait_s + POLL_TIMEOUT_MARGIN_S, answer, timeout)
