--- a/features/pool/random_faults.feature
+++ b/features/pool/random_faults.feature
@@ -8,3 +8,32 @@
 
   Scenario: No refused job starts while agents call the workers
     Then 2 runs of 5 s with random faults and worker agents from seed 1 start no refused job
+
+  Scenario: A job that is sent again before its withdrawal is answered is not refused and started
+    # The answer to the withdrawal of the earlier attempt was taken as that to the
+    # present one, which the allocator started.
+    Given a pool of 6 instances in zones "a b c" with 12 workers
+    When 2 s pass in the pool
+    And a client disconnects and sends its job again to the same instance at once
+    And 3 s pass in the pool
+    Then no refused attempt has started a task
+
+  Scenario: A job that has run is not refused after its link was reset for 2.7 s
+    # The allocator dropped the result of the job after 2 s, and took the job for a
+    # new one when it was declared again.
+    Given a pool of 6 instances in zones "a b c" with 12 workers
+    When 2 s pass in the pool
+    And the end of a job is lost since the link of its owner is reset 9 times under load
+    And 4 s pass in the pool
+    Then no invariant is violated
+
+  Scenario: An allocator does not repeat starts endlessly that were not sent
+    # Starts for an agent that did not respond were refused at once and placed
+    # again at once, without a pause, for a second.
+    Given a pool of 6 instances in zones "a b c" with 12 workers
+    When 2 s pass in the pool
+    And the allocator reaches no worker for 3 s
+    And its agents do not respond
+    And a job of 2 tasks of 100 ms is submitted at the allocator
+    And 2 s pass in the pool
+    Then every instance becomes idle
--- a/features/support/pool_processes.py
+++ b/features/support/pool_processes.py
@@ -2,6 +2,11 @@
 
 import functools
 
+# Calls without a delay that a process may make at one moment. The clock does not
+# advance between them, so that a process that never becomes idle would hang.
+MAX_IMMEDIATE_CALLS = 200
+BUSY_DELAY_S = 0.001
+
 
 class ProcessCall:
     """A call that is scheduled on the clock of a process."""
@@ -40,6 +45,8 @@
         held: What is to be done when the process resumes.
         is_frozen: Whether it does nothing for now.
         is_dead: Whether it does nothing any more.
+        immediate: Time, and number of the calls without a delay then.
+        busy: Times at which it did not become idle.
     """
 
     def __init__(self, *, clock):
@@ -47,6 +54,8 @@
         self.held = []
         self.is_frozen = False
         self.is_dead = False
+        self.immediate = (float(0), 0)
+        self.busy = []
 
     def seconds(self):
         """Return the time, in seconds."""
@@ -57,9 +66,21 @@
         scheduled = ProcessCall(
             process=self, call=lambda: call(*args, **kwargs)
         )
+        if not delay and self.is_busy():
+            delay = BUSY_DELAY_S
         scheduled.delayed = self.clock.callLater(delay, scheduled.fire)
         return scheduled
 
+    def is_busy(self):
+        """Return whether too many calls without a delay were made now."""
+        now_s = self.clock.seconds()
+        since_s, count = self.immediate
+        count = count + 1 if since_s == now_s else 0
+        self.immediate = (now_s, count)
+        if count == MAX_IMMEDIATE_CALLS:
+            self.busy.append(now_s)
+        return count >= MAX_IMMEDIATE_CALLS
+
     def execute(self, action):
         """Do something now, or when the process resumes."""
         if self.is_dead:
