Queue a task only once when its run is found and ends between two ticks

After a takeover the task was held back as unconfirmed (or for the step before it), a worker reported its run, which the previous allocator stopped, and the task was held back a second time before the next tick had dropped the first entry. Both entries were queued, and each was started.

A task that already waits is not queued again.

--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
@@ -143,9 +143,15 @@
         return True
 
     def queue_task(self, task: work.Task, now_s: float) -> None:
-        """Queue a task for its next start, if its job is still open."""
+        """Queue a task for its next start, if its job is still open.
+
+        A task may have been held back more than once, if a run of it was found
+        and ended in between.
+        """
         if task.job.closed or task.done or task.worker is not None:
             return
+        if task in task.job.waiting:
+            return
         if not task.job.may_begin(task.step):
             task.job.held.append(task)
             return
