Add a scenario of a task that starts beside its reported run

The owner names run 1 on a worker; an allocator that it lost has placed run 2 on another one. The next allocator expects run 1, so that run 2 is reported as unclaimed; when run 1 turns out to be over, the task is queued at once, and starts beside run 2. The unclaimed runs are looked through only when the job is declared.

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -8,3 +8,11 @@
     And worker 0 reports that the run was stopped
     And worker 1 reports no run
     Then the task is started once
+
+  Scenario: A task is not started while another worker reports a later run of it
+    # The owner knew run 1 on a worker, an allocator had placed run 2 on another
+    # one. The report without run 1 led to a start beside run 2. Seeds 1152, 3075.
+    Given an allocator with 2 workers and an unconfirmed job with a known run on worker 1
+    When worker 0 reports run 2 of the task
+    And worker 1 reports no run
+    Then the task is not started
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -22,6 +22,20 @@
     'an allocator with {workers:d} workers and an unconfirmed job of 1 task'
 )
 def given_unconfirmed(context, workers):
+    declare(context, workers, messages.DeclaredTask(name=TASK, cpu=1000))
+
+
+@behave.given(
+    'an allocator with {workers:d} workers and an unconfirmed job with a known run on worker {number:d}'
+)
+def given_known_run(context, workers, number):
+    task = messages.DeclaredTask(
+        name=TASK, cpu=1000, run=1, worker=values.WorkerId(f'w{number}')
+    )
+    declare(context, workers, task)
+
+
+def declare(context, workers, task):
     context.now_s = TAKEN_OVER_S
     context.machine = allocator.Allocator(
         token=values.Token(2), now_s=context.now_s
@@ -45,7 +59,7 @@
             age_ms=0,
             objective_ms=600,
             client_timeout_ms=6000,
-            tasks=(messages.DeclaredTask(name=TASK, cpu=1000),),
+            tasks=(task,),
             unconfirmed=True,
             redeclared=True,
         ),
@@ -74,6 +88,12 @@
     report(context, number, running=(run,))
 
 
+@behave.when('worker {number:d} reports run {run:d} of the task')
+def when_reports_later_run(context, number, run):
+    listed = outcomes.ListedRun(task=TASK, number=values.RunNumber(run))
+    report(context, number, running=(listed,))
+
+
 @behave.when('worker {number:d} reports that the run was stopped')
 def when_reports_end(context, number):
     end = outcomes.ListedEnd(
@@ -92,12 +112,21 @@
 
 @behave.then('the task is started once')
 def then_started_once(context):
-    machine = context.machine
-    machine.tick(context.now_s)
-    machine.place(context.now_s)
-    starts = [
+    starts = starts_of(context.machine, context.now_s)
+    assert len(starts) == 1, starts
+
+
+@behave.then('the task is not started')
+def then_not_started(context):
+    starts = starts_of(context.machine, context.now_s)
+    assert not starts, starts
+
+
+def starts_of(machine, now_s):
+    machine.tick(now_s)
+    machine.place(now_s)
+    return [
         action
         for action in machine.pop_actions()
         if isinstance(action, actions.StartRun)
     ]
-    assert len(starts) == 1, starts
