Give up a task that crashes the workers that start it

Callers saw no answer but the unknown outcome (504) for a job with such a task, and all others lost one worker after another: the task was started about once a second until its client gave up, and again for each submission of the job.

Cause: only runs that a worker reports as failed count as attempts. A run that is lost with its worker was counted nowhere, neither by the allocator nor by the owner, and nothing outlasted the submission.

Fix: the allocator records by task which incarnations of workers were lost while they ran it, for a minute, and so across submissions. A lapsed lease is suspected only: it counts as a crash when the worker has restarted, and is cleared when the same incarnation answers, as that worker was cut off. A task is given up after two crashes, or three losses that are not cleared; its job has failed. Owners are told the number and declare it to the next allocator.

--- /dev/null
+++ b/features/pool/crash_records.feature
@@ -0,0 +1,17 @@
+Feature: Tasks whose workers are lost, as the allocator records it
+
+  Scenario: A task whose workers were cut off is not given up
+    Given an allocator with 4 workers and a job of 1 task that has 60 s
+    When the worker of the task is silent until its lease lapses, and answers again, 4 times
+    Then the job is not given up
+
+  Scenario: A task whose workers restart after its lease has lapsed is given up
+    Given an allocator with 4 workers and a job of 1 task that has 60 s
+    When the worker of the task is silent until its lease lapses, and restarts, 2 times
+    Then the job is given up as failed, for 2 workers that were lost
+
+  Scenario: A task that was given up is not started for another submission
+    Given an allocator with 4 workers and a job of 1 task that has 60 s
+    When the worker of the task is silent until its lease lapses, and restarts, 2 times
+    And another instance declares the job
+    Then the job is given up as failed, for 2 workers that were lost
--- /dev/null
+++ b/features/steps/crash_record_steps.py
@@ -0,0 +1,147 @@
+"""Steps for the allocator's records of workers that were lost under a task."""
+
+import behave
+
+from guavaroad.domain.pool import (
+    actions,
+    allocator,
+    messages,
+    outcomes,
+    values,
+)
+from guavaroad_standins import pool_worker
+
+JOB = values.JobId('1')
+TASK = values.TaskName('1.0.0.0')
+TAKEN_OVER_S = 10
+TICK_S = 0.02
+SILENCE_S = 3
+
+
+@behave.given(
+    'an allocator with {workers:d} workers and a job of 1 task that has {seconds:g} s'
+)
+def given_allocator(context, workers, seconds):
+    context.machine = allocator.Allocator(
+        token=values.Token(2), now_s=TAKEN_OVER_S
+    )
+    context.now_s = TAKEN_OVER_S
+    listed = [
+        pool_worker.worker_info_of(number, zone='a')
+        for number in range(workers)
+    ]
+    context.machine.update_workers(listed, TAKEN_OVER_S)
+    context.born_ms = {entry.worker_id: entry.started_ms for entry in listed}
+    context.declared = messages.Declare(
+        job=JOB,
+        pool='pool',
+        urgency=0,
+        max_attempts=4,
+        payload='',
+        estimate_ms=20_000,
+        age_ms=0,
+        objective_ms=int(seconds * 1000),
+        client_timeout_ms=int(seconds * 1000),
+        tasks=(messages.DeclaredTask(name=TASK, cpu=1000),),
+    )
+    context.given_up = []
+    context.worker = None
+    declare(context, 'owner')
+    advance(context, TICK_S)
+
+
+def declare(context, owner):
+    context.machine.job_admission.declare(
+        values.InstanceName(owner), context.declared, context.now_s
+    )
+
+
+def advance(context, seconds, *, silent=()):
+    """Advance the time; all workers report but the silent ones."""
+    machine = context.machine
+    end_s = context.now_s + seconds
+    while context.now_s < end_s:
+        context.now_s += TICK_S
+        for worker_id in context.born_ms:
+            if worker_id not in silent:
+                report(context, worker_id)
+        machine.tick(context.now_s)
+        machine.place(context.now_s)
+        for action in machine.pop_actions():
+            take(context, action)
+
+
+def report(context, worker_id):
+    running = ()
+    if worker_id == context.worker:
+        running = (outcomes.ListedRun(task=TASK, number=context.run),)
+    lease = context.machine.state.workers[worker_id].lease
+    if lease.has_clock():
+        lease.extend(context.now_s)
+    context.machine.reports.record_report(
+        worker_id=worker_id,
+        report=outcomes.RunReport(
+            clock_ms=int(context.now_s * 1000),
+            started_ms=context.born_ms[worker_id],
+            running=running,
+            ended=(),
+        ),
+        sent_s=context.now_s,
+        now_s=context.now_s,
+    )
+
+
+def take(context, action):
+    match action:
+        case actions.StartRun():
+            context.worker = action.worker_id
+            context.run = action.number
+        case actions.NotifyOwner(message=messages.GivenUp()):
+            context.worker = None
+            context.given_up.append(action.message)
+
+
+@behave.when(
+    'the worker of the task is silent until its lease lapses, and answers again, {count:d} times'
+)
+def when_silent(context, count):
+    for _ in range(count):
+        lost = context.worker
+        assert lost is not None
+        advance(context, SILENCE_S, silent={lost})
+        advance(context, SILENCE_S)
+
+
+@behave.when(
+    'the worker of the task is silent until its lease lapses, and restarts, {count:d} times'
+)
+def when_restarts(context, count):
+    for _ in range(count):
+        lost = context.worker
+        advance(context, SILENCE_S, silent={lost})
+        assert context.worker != lost
+        context.born_ms[lost] += 1000
+        advance(context, TICK_S)
+
+
+@behave.when('another instance declares the job')
+def when_declared_again(context):
+    context.given_up = []
+    declare(context, 'another')
+    advance(context, TICK_S)
+
+
+@behave.then('the job is not given up')
+def then_open(context):
+    assert not context.given_up, context.given_up
+    assert JOB in context.machine.state.jobs
+
+
+@behave.then(
+    'the job is given up as failed, for {count:d} workers that were lost'
+)
+def then_given_up(context, count):
+    assert len(context.given_up) == 1, context.given_up
+    given_up = context.given_up[0]
+    assert given_up.reason is values.GiveUpReason.ATTEMPTS_USED, given_up
+    assert given_up.detail.startswith(f'{count} workers'), given_up
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
@@ -84,6 +84,7 @@
         self.runs.follow_stops(now_s)
         self.orphans.drop_expired(now_s)
         self.state.closed.expire(now_s)
+        self.runs.crashes.records.expire(now_s)
         self.check_workers(now_s)
         for pool in self.state.pools.values():
             for job in pool.backlog.expired_jobs(now_s):
@@ -122,7 +123,7 @@
                 runs=len(worker_state.runs),
                 silent_ms=units.to_ms(now_s - worker_state.last_poll_s),
             )
-            self.runs.expire_leases(worker_state, now_s)
+            self.reports.lost_workers.on_lapsed(worker_state, now_s)
         stragglers.stop_stragglers(self.runs, worker_state, now_s)
         repeat_s = self.reports.answer_times.repeat_interval_s()
         if stragglers.needs_extra_poll(worker_state, now_s, repeat_s):
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/pool/crash_records.py
@@ -0,0 +1,128 @@
+"""Workers that were lost while they ran a task.
+
+Handles a task that crashes each worker that starts it: unless it is given up,
+it takes one worker after another from all other jobs.
+
+A lease that has lapsed does not show whether the worker has crashed or is cut
+off. Such a loss is suspected until the worker answers again: it has crashed if
+it has restarted, and the task is cleared if it has not.
+"""
+
+import dataclasses
+from typing import Final, NewType
+
+from guavaroad.domain.pool import generations, values
+
+# Workers that a task may crash before it is given up.
+MAX_CRASHES: Final = 2
+# The same, with those that have not answered since. More are needed, as workers
+# that are cut off are counted until they answer.
+MAX_LOSSES: Final = 3
+# Minimum retention of the losses of a task, in seconds. Clients send the job
+# again for a multiple of their timeout.
+RETENTION_S: Final = 60
+
+Incarnation = NewType('Incarnation', str)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashRecord:
+    """Losses of workers under one task.
+
+    Attributes:
+        crashed: Incarnations of workers that have restarted since.
+        silent: Incarnations that have not answered since.
+        earlier: Losses that other allocators have recorded.
+    """
+
+    crashed: frozenset[Incarnation] = frozenset()
+    silent: frozenset[Incarnation] = frozenset()
+    earlier: int = 0
+
+    def losses(self) -> int:
+        """Return the number of workers that were lost."""
+        return len(self.crashed) + len(self.silent) + self.earlier
+
+    def is_over_limit(self) -> bool:
+        """Return whether the task is to be given up."""
+        return len(self.crashed) >= MAX_CRASHES or self.losses() >= MAX_LOSSES
+
+
+_NO_LOSSES: Final = CrashRecord()
+
+
+class CrashRecords:
+    """Losses of workers by task.
+
+    Attributes:
+        records: Records by task, retained for a limited time.
+    """
+
+    def __init__(self, *, now_s: float) -> None:
+        self.records: generations.Generations[values.TaskName, CrashRecord] = (
+            generations.Generations(retention_s=RETENTION_S, now_s=now_s)
+        )
+
+    def find(self, task: values.TaskName) -> CrashRecord:
+        """Return the losses under a task."""
+        return self.records.find(task) or _NO_LOSSES
+
+    def record_silent(
+        self, task: values.TaskName, incarnation: Incarnation
+    ) -> None:
+        """Record that the lease of a task's run has lapsed.
+
+        Args:
+            task: The task.
+            incarnation: Incarnation of the worker, which does not answer.
+        """
+        record = self.find(task)
+        self.records.record(
+            task,
+            dataclasses.replace(record, silent=record.silent | {incarnation}),
+        )
+
+    def record_crash(
+        self, task: values.TaskName, incarnation: Incarnation
+    ) -> None:
+        """Record that a worker has restarted after it ran a task.
+
+        Args:
+            task: The task.
+            incarnation: Incarnation of the worker that is over.
+        """
+        record = self.find(task)
+        self.records.record(
+            task,
+            dataclasses.replace(
+                record,
+                crashed=record.crashed | {incarnation},
+                silent=record.silent - {incarnation},
+            ),
+        )
+
+    def clear(self, task: values.TaskName, incarnation: Incarnation) -> None:
+        """Drop a suspected loss, as the same incarnation has answered."""
+        record = self.find(task)
+        if incarnation in record.silent:
+            self.records.record(
+                task,
+                dataclasses.replace(
+                    record, silent=record.silent - {incarnation}
+                ),
+            )
+
+    def inherit(self, task: values.TaskName, losses: int) -> None:
+        """Add the losses that only the owner of a task still knows of.
+
+        Args:
+            task: The task.
+            losses: Losses that the owner was notified of.
+        """
+        record = self.find(task)
+        missing = losses - record.losses()
+        if missing > 0:
+            self.records.record(
+                task,
+                dataclasses.replace(record, earlier=record.earlier + missing),
+            )
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -75,6 +75,8 @@
         job.may_have_run_before = self.earlier.may_have_run(
             declared, arrived_s=job.arrived_s
         )
+        if self.refuse_if_crashing(job, declared):
+            return
         if self.refuse_if_overloaded(job, now_s):
             return
         if declared.unconfirmed:
@@ -162,6 +164,22 @@
         )
         return True
 
+    def refuse_if_crashing(
+        self, job: work.Job, declared: messages.Declare
+    ) -> bool:
+        """Fail a job with a task that has crashed too many workers.
+
+        Returns:
+            Whether the job has failed.
+        """
+        for task, declared_task in zip(job.tasks, declared.tasks, strict=True):
+            self.runs.crashes.inherit(task.name, declared_task.losses)
+            record = self.runs.crashes.find(task.name)
+            if record.is_over_limit() and not task.done:
+                self.runs.give_up_crashing(task)
+                return True
+        return False
+
     def is_warming_up(
         self, pool: allocator_state.PoolState, now_s: float
     ) -> bool:
--- a/packages/guavaroad/src/guavaroad/domain/pool/messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/messages.py
@@ -21,6 +21,7 @@
         step: Step of the job that the task belongs to.
         estimate_ms: Estimated run time, in milliseconds.
         constraint: Placement constraint.
+        losses: Number of workers that were lost while they ran it.
     """
 
     name: values.TaskName
@@ -34,6 +35,7 @@
     step: int = 0
     estimate_ms: int = 0
     constraint: constraints.Constraint = constraints.ANYWHERE
+    losses: int = 0
 
 
 class Declare(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -106,11 +108,13 @@
         job: Id of the job.
         index: Index of the task in the job.
         kind: How the run ended.
+        losses: Number of workers that were lost while they ran the task.
     """
 
     job: values.JobId
     index: int
     kind: values.EndKind
+    losses: int = 0
 
 
 class GivenUp(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
@@ -119,6 +119,7 @@
             none.
         worker: Worker of that start until the run ends.
         failures: Number of failed runs.
+        losses: Number of workers that were lost while they ran it.
     """
 
     request: TaskRequest
@@ -126,6 +127,7 @@
     run: int = 0
     worker: values.WorkerId | None = None
     failures: int = 0
+    losses: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -223,6 +225,7 @@
         """Record the end of a run; return whether the job is complete."""
         task = self.tasks[message.index]
         task.worker = None
+        task.losses = max(task.losses, message.losses)
         match message.kind:
             case values.EndKind.DONE if not task.done:
                 task.done = True
@@ -262,6 +265,7 @@
         step=task.request.step,
         estimate_ms=task.request.estimate_ms,
         constraint=task.request.constraint,
+        losses=task.losses,
     )
 
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -12,6 +12,7 @@
     actions,
     allocator_state,
     closed_jobs,
+    crash_records,
     messages,
     outcomes,
     stragglers,
@@ -45,6 +46,7 @@
 
     Attributes:
         state: State of the allocator.
+        crashes: Workers that were lost while they ran a task, by task.
         stop_retries: Stops to send again: time, worker and run.
         accepted_stops: Accepted stops: time at which they have taken effect,
             and worker.
@@ -52,6 +54,7 @@
 
     def __init__(self, *, state: allocator_state.AllocatorState) -> None:
         self.state = state
+        self.crashes = crash_records.CrashRecords(now_s=state.taken_over_s)
         self.stop_retries: collections.deque[
             tuple[float, values.WorkerId, worker.Run]
         ] = collections.deque()
@@ -233,7 +236,13 @@
         """Notify the owner of an end, and queue the task again if needed."""
         job = task.job
         self.state.notify_owner(
-            job, messages.Ended(job=job.job_id, index=task.index, kind=kind)
+            job,
+            messages.Ended(
+                job=job.job_id,
+                index=task.index,
+                kind=kind,
+                losses=self.crashes.find(task.name).losses(),
+            ),
         )
         if kind is values.EndKind.DONE:
             self.record_done(task, now_s)
@@ -242,8 +251,10 @@
             task.failures += 1
         if task.failures >= job.max_attempts:
             self.give_up(job, values.GiveUpReason.ATTEMPTS_USED)
-            return
-        self.state.queue_task(task, now_s)
+        elif self.crashes.find(task.name).is_over_limit():
+            self.give_up_crashing(task)
+        else:
+            self.state.queue_task(task, now_s)
 
     def record_done(self, task: work.Task, now_s: float) -> None:
         """Queue the tasks of the next steps, or close a complete job."""
@@ -300,12 +311,17 @@
             if worker_state is not None and run is not None:
                 self.stop(worker_state, run)
 
-    def expire_leases(self, worker_state: worker.Worker, now_s: float) -> None:
-        """End every run of a worker whose leases must have lapsed."""
-        for run in tuple(worker_state.runs.values()):
-            self.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
-        worker_state.unclaimed_runs = {}
-        worker_state.is_synced = False
+    def give_up_crashing(self, task: work.Task) -> None:
+        """Give up the job of a task that crashes its workers."""
+        record = self.crashes.find(task.name)
+        self.give_up(
+            task.job,
+            values.GiveUpReason.ATTEMPTS_USED,
+            detail=(
+                f'{record.losses()} workers were lost while they ran '
+                f'{task.name}, {len(record.crashed)} of them have restarted'
+            ),
+        )
 
     def log_moved(self, worker_state: worker.Worker, run: worker.Run) -> None:
         """Log that a run is stopped to start again on another worker."""
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -75,6 +75,7 @@
         unclaimed_runs: Reported runs that belong to no tracked job.
         is_synced: Whether a run report has been received under this token since
             the last failure.
+        lapsed_tasks: Tasks whose runs have lapsed since its last answer.
         last_end_position: Sequence number of the last recorded end.
         last_poll_s: Time at which the last answered status poll was sent.
         report_clock_ms: Worker's clock in its newest report, in milliseconds.
@@ -100,6 +101,7 @@
         default_factory=dict
     )
     is_synced: bool = False
+    lapsed_tasks: set[values.TaskName] = dataclasses.field(default_factory=set)
     last_end_position: int = 0
     last_poll_s: float = 0
     unclaimed_since_s: float | None = None
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -6,6 +6,7 @@
 from guavaroad.domain.pool import (
     allocator_state,
     answer_times,
+    lost_workers,
     messages,
     outcomes,
     run_tracker,
@@ -23,6 +24,7 @@
         runs: Tracks runs.
         unclaimed_workers: Workers that report unclaimed runs.
         answer_times: How long polls without a wait take.
+        lost_workers: Ends the runs of lost workers.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         self.runs = runs
         self.unclaimed_workers: set[values.WorkerId] = set()
         self.answer_times = answer_times.AnswerTimes()
+        self.lost_workers = lost_workers.LostWorkers(state=state, runs=runs)
 
     def record_report(
         self,
@@ -57,11 +60,7 @@
             report.started_ms, sent_s
         ):
             return
-        if (
-            report.started_ms
-            and report.started_ms != worker_state.worker_info.started_ms
-        ):
-            self.on_restart(worker_state, report.started_ms, now_s)
+        self.check_incarnation(worker_state, report.started_ms, now_s)
         worker_state.health.record_answer()
         worker_state.lease.read_clock(report.clock_ms, now_s)
         if not worker_state.is_synced and worker_state.last_poll_s:
@@ -82,6 +81,24 @@
             self.compare(worker_state, report, sent_s, now_s)
         worker_state.is_synced = True
 
+    def check_incarnation(
+        self, worker_state: worker.Worker, started_ms: int, now_s: float
+    ) -> None:
+        """Follow a worker that answers, perhaps after a restart.
+
+        Args:
+            worker_state: Worker that sent a report.
+            started_ms: Start of the incarnation that sent it, in milliseconds
+                since 1970; 0 if unknown.
+            now_s: Current time, in seconds.
+        """
+        if not started_ms:
+            return
+        if started_ms != worker_state.worker_info.started_ms:
+            self.on_restart(worker_state, started_ms, now_s)
+        elif worker_state.lapsed_tasks:
+            self.lost_workers.on_answered(worker_state)
+
     def record_poll_failure(
         self, worker_id: values.WorkerId, detail: str, now_s: float
     ) -> None:
@@ -246,7 +263,7 @@
                 worker=worker_state.worker_info.worker_id,
                 runs_lost=len(worker_state.runs),
             )
-            self.runs.expire_leases(worker_state, now_s)
+            self.lost_workers.on_restarted(worker_state, now_s)
         worker_state.last_end_position = 0
         worker_state.report_clock_ms = -1
         worker_state.incarnation_seen_s = now_s
