Pause a worker that refuses connections

A refusal without a connection (UNREACHED) counted as an answer of the worker: it reset the count of unanswered calls just before it was incremented, so that the count never reached the two at which a worker is paused.

Such a refusal is no answer any more. The pause is logged as `worker_ejected` with reason `not reached`.

--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -110,7 +110,8 @@
         if reason is outcomes.Refusal.UNHEALTHY:
             worker_state.health.eject(now_s)
         elif reason is outcomes.Refusal.UNREACHED:
-            worker_state.health.record_unanswered(now_s)
+            if worker_state.health.record_unanswered(now_s):
+                self.state.log_ejection(worker_state, 'not reached', now_s)
         elif reason not in _NOT_ABOUT_WORKER:
             worker_state.is_synced = False
         if reason is outcomes.Refusal.MALFORMED:
@@ -324,7 +325,9 @@
     match outcome:
         case (
             outcomes.NoAnswer()
-            | outcomes.Refused(reason=outcomes.Refusal.NOT_SENT)
+            | outcomes.Refused(
+                reason=outcomes.Refusal.NOT_SENT | outcomes.Refusal.UNREACHED
+            )
         ):
             return False
     return True
