Repeat refused starts with a growing pause

An owner or allocator that does not reach an agent sends it nothing for a second, and refuses each start for it in the same instant. The task was placed again in that instant, on the same worker, and so on: the allocator did nothing else for the second, and its heartbeats waited. The same held for a start that a worker refuses for its run number, and for any refusal after which the worker's next report arrives at once.

A refused start says little about the worker. Its task is queued again at once the first time, and after that with a pause of 20 ms that doubles up to 200 ms, until a start is accepted. Waiting tasks are kept by the allocator, and queued by its tick unless their job was closed or a run was found meanwhile. The pause is in `start_refused` as `pause_ms`.

Without the reset by an accepted start, "An accepted start ends the pauses of a task" fails.

--- a/features/pool/refused_starts.feature
+++ b/features/pool/refused_starts.feature
@@ -14,3 +14,48 @@
     Then at most 2 starts were sent to worker 0
     When worker 0 can be reached for 0.3 s
     Then the task runs on worker 0
+
+  Scenario Outline: A start that is refused as <reason> is repeated with a growing pause
+    # An owner that did not reach an agent refused each start at once, and the task
+    # was placed again at once, without a pause, for a second. Seed 113.
+    Given an allocator with 1 free workers and a job of 1 task
+    When worker 0 refuses starts as "<reason>" for 1 s
+    Then at most 10 starts were sent to worker 0
+    When worker 0 accepts starts for <wait> s
+    Then the task runs on worker 0
+
+    Examples:
+      | reason     | wait |
+      | not_sent   | 0.25 |
+      | stale_run  | 0.25 |
+      | lease_over       | 0.25 |
+      | no_room    | 0.25 |
+      | other_life | 0.25 |
+      | unhealthy  | 1.6  |
+
+  Scenario: A task whose start was refused once starts again at once
+    Given an allocator with 1 free workers and a job of 1 task
+    When worker 0 refuses 1 start as "not_sent"
+    Then the task runs on worker 0
+
+  Scenario: An accepted start ends the pauses of a task
+    Given an allocator with 1 free workers and a job of 1 task
+    When worker 0 refuses starts as "not_sent" for 1 s
+    And worker 0 accepts starts for 0.25 s
+    And the run of the task fails, and worker 0 refuses 1 start as "not_sent"
+    Then the task runs on worker 0
+
+  Scenario: A task is not started when its job is withdrawn during its pause
+    Given an allocator with 1 free workers and a job of 1 task
+    When worker 0 refuses starts as "not_sent" for 1 s
+    And the job is withdrawn
+    And worker 0 accepts starts for 0.5 s
+    Then no task runs on worker 0
+
+  Scenario: A task is not started when a run of it is found during its pause
+    Given an allocator with 2 free workers and a job of 1 task
+    When all workers refuse starts as "not_sent" for 1 s
+    And a run of the task is found on worker 1
+    And all workers accept starts for 0.5 s
+    Then the task runs on worker 1
+    And no task runs on worker 0
--- a/features/steps/refused_starts_steps.py
+++ b/features/steps/refused_starts_steps.py
@@ -1,7 +1,5 @@
 """Steps for starts that are refused."""
 
-import collections
-
 import behave
 
 from guavaroad.domain.pool import (
@@ -21,6 +19,8 @@
 # Time until a call returns.
 CALL_S = 0.001
 MAX_STARTS_A_TICK = 50
+LOWEST_URGENCY = 9
+ROUNDING = 1e-6
 
 
 class Scene:
@@ -29,7 +29,7 @@
     Attributes:
         refusals: Reason for which each worker refuses its starts.
         starts: Workers of the starts, in order.
-        jobs: Number of declared jobs.
+        logged: Lines of the decision log.
     """
 
     def __init__(self, *, workers, cpu):
@@ -44,12 +44,11 @@
         self.refusals = {}
         self.starts = []
         self.logged = []
-        self.position = collections.Counter()
         self.machine.update_workers(self.infos, self.now_s)
         for worker_info in self.infos:
             self.report(worker_info.worker_id)
 
-    def report(self, worker_id, *, ended=()):
+    def report(self, worker_id, *, ended=(), extra=()):
         """Receive a report of every run that the allocator tracks."""
         worker_state = self.machine.state.workers[worker_id]
         self.now_s += CALL_S
@@ -62,7 +61,8 @@
                     outcomes.ListedRun(task=name, number=run.number)
                     for name, run in worker_state.runs.items()
                     if name not in {end.task for end in ended}
-                ),
+                )
+                + extra,
                 ended=ended,
             ),
             sent_s=self.now_s,
@@ -96,10 +96,31 @@
     def run(self, seconds):
         """Let time pass; the starts are answered at once."""
         for _ in range(int(seconds / TICK_S + 0.5)):
+            self.report_reached()
             self.machine.tick(self.now_s)
             self.answer_starts()
+            self.check_backlog()
             self.now_s += TICK_S
 
+    def report_reached(self):
+        """Receive the reports of the workers that are reached."""
+        for worker_info in self.infos:
+            worker_id = worker_info.worker_id
+            refusal = self.refusals.get(worker_id)
+            if refusal is not outcomes.Refusal.UNREACHED:
+                self.report(worker_id)
+
+    def check_backlog(self):
+        """Check the waiting core-seconds against the waiting tasks."""
+        state = self.machine.state
+        waiting_core_s = sum(
+            task.need.cpu * task.estimate_s / values.CPU_MILLIS_PER_CORE
+            for job in state.jobs.values()
+            for task in job.waiting
+        )
+        counted = state.pool('pool').backlog.core_s_ahead(LOWEST_URGENCY)
+        assert abs(counted - waiting_core_s) < ROUNDING, counted
+
     def answer_starts(self):
         """Place tasks until no more start is ordered."""
         for _ in range(MAX_STARTS_A_TICK):
@@ -165,6 +186,78 @@
     context.scene.run(seconds)
 
 
+@behave.when('worker {number:d} refuses starts as "{reason}" for {seconds:g} s')
+def when_refused(context, number, reason, seconds):
+    refusal = outcomes.Refusal(reason)
+    context.scene.refusals[worker_id_of(number)] = refusal
+    context.scene.run(seconds)
+
+
+@behave.when('all workers refuse starts as "{reason}" for {seconds:g} s')
+def when_all_refused(context, reason, seconds):
+    refusal = outcomes.Refusal(reason)
+    for worker_info in context.scene.infos:
+        context.scene.refusals[worker_info.worker_id] = refusal
+    context.scene.run(seconds)
+
+
+@behave.when('worker {number:d} accepts starts for {seconds:g} s')
+def when_accepted(context, number, seconds):
+    when_reached(context, number, seconds)
+
+
+@behave.when('all workers accept starts for {seconds:g} s')
+def when_all_accepted(context, seconds):
+    context.scene.refusals.clear()
+    context.scene.run(seconds)
+
+
+@behave.when('worker {number:d} refuses 1 start as "{reason}"')
+def when_refused_once(context, number, reason):
+    scene = context.scene
+    worker_id = worker_id_of(number)
+    scene.refusals[worker_id] = outcomes.Refusal(reason)
+    scene.machine.place(scene.now_s)
+    start = next(iter(scene.pop_starts()))
+    scene.answer(start)
+    scene.refusals.pop(worker_id)
+    scene.answer_starts()
+
+
+@behave.when(
+    'the run of the task fails, and worker {number:d} refuses 1 start as "{reason}"'
+)
+def when_fails(context, number, reason):
+    run = next(iter(context.scene.worker(number).runs.values()))
+    end = outcomes.ListedEnd(
+        position=1,
+        task=run.task.name,
+        number=run.number,
+        kind=values.EndKind.FAILED,
+    )
+    context.scene.report(worker_id_of(number), ended=(end,))
+    when_refused_once(context, number, reason)
+
+
+@behave.when('the job is withdrawn')
+def when_withdrawn(context):
+    context.scene.machine.job_admission.withdraw(OWNER, JOB)
+
+
+@behave.when('a run of the task is found on worker {number:d}')
+def when_found(context, number):
+    scene = context.scene
+    task = next(iter(scene.machine.state.tasks.values()))
+    listed = outcomes.ListedRun(task=task.name, number=values.RunNumber(99))
+    scene.report(worker_id_of(number), extra=(listed,))
+
+
+@behave.then('no task runs on worker {number:d}')
+def then_none_runs(context, number):
+    runs = context.scene.worker(number).runs
+    assert not runs, runs
+
+
 @behave.then('at most {most:d} starts were sent to worker {number:d}')
 def then_starts(context, most, number):
     sent = context.scene.starts.count(worker_id_of(number))
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -8,12 +8,14 @@
 import collections
 from typing import Final
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import (
     actions,
     allocator_state,
     closed_jobs,
     messages,
     outcomes,
+    refused_starts,
     stragglers,
     values,
     work,
@@ -45,6 +47,7 @@
 
     Attributes:
         state: State of the allocator.
+        refused_starts: Tasks whose start was refused.
         stop_retries: Stops to send again: time, worker and run.
         accepted_stops: Accepted stops: time at which they have taken effect,
             and worker.
@@ -52,6 +55,7 @@
 
     def __init__(self, *, state: allocator_state.AllocatorState) -> None:
         self.state = state
+        self.refused_starts = refused_starts.RefusedStarts(state=state)
         self.stop_retries: collections.deque[
             tuple[float, values.WorkerId, worker.Run]
         ] = collections.deque()
@@ -81,6 +85,7 @@
             case outcomes.Accepted():
                 if outcome.clock_ms >= 0:
                     worker_state.lease.read_clock(outcome.clock_ms, now_s)
+                run.task.start_pause_s = 0
                 if run.state is values.RunState.ORDERED:
                     run.state = values.RunState.RUNNING
                     run.reportable_s = now_s
@@ -105,6 +110,7 @@
             run=run.number,
             worker=worker_state.worker_info.worker_id,
             reason=reason.value,
+            pause_ms=units.to_ms(task.start_pause_s),
         )
         self.state.remove_run(worker_state, task.name)
         if reason is outcomes.Refusal.UNHEALTHY:
@@ -117,7 +123,7 @@
         if reason is outcomes.Refusal.MALFORMED:
             self.give_up(task.job, values.GiveUpReason.ATTEMPTS_USED)
             return
-        self.state.queue_task(task, now_s)
+        self.refused_starts.add(task, now_s)
 
     def on_start_unanswered(
         self,
--- a/packages/guavaroad/src/guavaroad/domain/pool/work.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/work.py
@@ -22,6 +22,8 @@
         step: Step of the job that it belongs to.
         estimate_s: Estimated run time, in seconds.
         constraint: Placement constraint.
+        start_pause_s: Pause before it is queued again if its next start is
+            refused, in seconds.
     """
 
     job: 'Job'
@@ -35,6 +37,7 @@
     step: int = 0
     estimate_s: float = 0
     constraint: constraints.Constraint = constraints.ANYWHERE
+    start_pause_s: float = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
