--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -8,6 +8,7 @@
 import collections
 from typing import Final
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import (
     actions,
     allocator_state,
@@ -15,6 +16,7 @@
     crash_records,
     messages,
     outcomes,
+    refused_starts,
     stragglers,
     values,
     work,
@@ -47,6 +49,7 @@
     Attributes:
         state: State of the allocator.
         crashes: Workers that were lost while they ran a task, by task.
+        refused_starts: Tasks whose start was refused.
         stop_retries: Stops to send again: time, worker and run.
         accepted_stops: Accepted stops: time at which they have taken effect,
             and worker.
@@ -55,6 +58,7 @@
     def __init__(self, *, state: allocator_state.AllocatorState) -> None:
         self.state = state
         self.crashes = crash_records.CrashRecords(now_s=state.taken_over_s)
+        self.refused_starts = refused_starts.RefusedStarts(state=state)
         self.stop_retries: collections.deque[
             tuple[float, values.WorkerId, worker.Run]
         ] = collections.deque()
@@ -84,6 +88,7 @@
             case outcomes.Accepted():
                 if outcome.clock_ms >= 0:
                     worker_state.lease.read_clock(outcome.clock_ms, now_s)
+                run.task.start_pause_s = 0
                 if run.state is values.RunState.ORDERED:
                     run.state = values.RunState.RUNNING
                     run.reportable_s = now_s
@@ -108,18 +113,20 @@
             run=run.number,
             worker=worker_state.worker_info.worker_id,
             reason=reason.value,
+            pause_ms=units.to_ms(task.start_pause_s),
         )
         self.state.remove_run(worker_state, task.name)
         if reason is outcomes.Refusal.UNHEALTHY:
             worker_state.health.eject(now_s)
         elif reason is outcomes.Refusal.UNREACHED:
-            worker_state.health.record_unanswered(now_s)
+            if worker_state.health.record_unanswered(now_s):
+                self.state.log_ejection(worker_state, 'not reached', now_s)
         elif reason not in _NOT_ABOUT_WORKER:
             worker_state.is_synced = False
         if reason is outcomes.Refusal.MALFORMED:
             self.give_up(task.job, values.GiveUpReason.ATTEMPTS_USED)
             return
-        self.state.queue_task(task, now_s)
+        self.refused_starts.add(task, now_s)
 
     def on_start_unanswered(
         self,
@@ -340,7 +347,9 @@
     match outcome:
         case (
             outcomes.NoAnswer()
-            | outcomes.Refused(reason=outcomes.Refusal.NOT_SENT)
+            | outcomes.Refused(
+                reason=outcomes.Refusal.NOT_SENT | outcomes.Refusal.UNREACHED
+            )
         ):
             return False
     return True
