Number the attempts of a client to hand in a job

Cause: messages between the owner of a job and the allocator name the job and not the attempt. The answer to the withdrawal of the first attempt arrived after the second one had been opened, and was taken as its own. The same holds for a late withdrawal, a start that was decided for the first attempt, and the record of how a job was given up, which was sent to an attempt whose own declaration had been lost with the link.

Fix: each submission has a number that is unique at its instance. `Declare` and `Withdraw` have it, the allocator keeps it with the owner of the job, and `Begun`, `Ended`, `GivenUp` and `LaunchRuns` return it. Owner and allocator ignore messages about another attempt, and log them as `stale_attempt`; the owner sends no start that was decided for another attempt. A recorded end is sent to the attempt that it belongs to; the next attempt at the same instance is a new job. Older builds send and ignore the number: 0 is accepted as before. The numbers go on from the clock, so that a process does not use those of an earlier one under its name.

Not changed: a job that is sent again while its first attempt is open keeps the times of the first declaration at the allocator.

--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -61,7 +61,9 @@
         client_timeout_ms=1,
         tasks=(),
     )
-    open_job = open_jobs.open_job(request, now_s=0, on_outcome=lambda _: None)
+    open_job = open_jobs.open_job(
+        request, attempt=1, now_s=0, on_outcome=lambda _: None
+    )
     open_job.record_event('started', 1)
     return open_job
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/actions.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/actions.py
@@ -18,6 +18,7 @@
         job: Id of the job.
         index: Index of the task in the job.
         owner: Owner of the job.
+        attempt: Attempt at the owner.
         owner_has_payload: Whether only the owner has the payload, and so sends
             the order.
     """
@@ -30,6 +31,7 @@
     job: values.JobId
     index: int
     owner: values.InstanceName
+    attempt: values.AttemptNumber
     owner_has_payload: bool
 
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/agent_messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/agent_messages.py
@@ -116,10 +116,12 @@
     Attributes:
         job: Id of the job.
         launches: The starts.
+        attempt: Attempt that it is about; 0 if sent by an older build.
     """
 
     job: values.JobId
     launches: tuple[Launch, ...]
+    attempt: values.AttemptNumber = values.ANY_ATTEMPT
 
 
 class NotLaunched(msgspec.Struct, frozen=True, array_like=True, tag='nl'):
--- a/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
@@ -20,7 +20,20 @@
     """All tasks of the job succeeded."""
 
 
-Ending = Complete | messages.GivenUp
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Abandoned:
+    """The job was given up.
+
+    Attributes:
+        owner: Owner of the attempt that was given up.
+        given_up: What the owner was told.
+    """
+
+    owner: values.InstanceName
+    given_up: messages.GivenUp
+
+
+Ending = Complete | Abandoned
 
 
 class ClosedJobs(generations.Generations[values.JobId, Ending]):
--- a/packages/guavaroad/src/guavaroad/domain/pool/declared_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/declared_jobs.py
@@ -25,6 +25,7 @@
     job = work.Job(
         job_id=declared.job,
         owner=owner,
+        attempt=declared.attempt,
         pool=names.PoolName(declared.pool),
         urgency=declared.urgency,
         max_attempts=declared.max_attempts,
--- a/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -4,6 +4,8 @@
 instance does when the client sends the job again.
 """
 
+import msgspec
+
 from guavaroad.domain.pool import (
     actions,
     allocator_state,
@@ -69,7 +71,9 @@
         if declared.redeclared and not self.state.closed.covers(arrived_s):
             return True
         match self.state.closed.find(declared.job):
-            case messages.GivenUp(may_have_started=True):
+            case closed_jobs.Abandoned(
+                given_up=messages.GivenUp(may_have_started=True)
+            ):
                 return True
         return declared.unconfirmed or self.has_reported_run(declared)
 
@@ -89,7 +93,7 @@
         """Send the owner the result of a job that has ended here.
 
         A job that was given up and is submitted again by the client is a new
-        job.
+        job, also if its first declaration was lost with a link.
 
         Args:
             owner: Instance that declares the job.
@@ -106,12 +110,19 @@
                         job=declared.job,
                         index=index,
                         kind=values.EndKind.DONE,
+                        attempt=declared.attempt,
                     )
                     for index, task in enumerate(declared.tasks)
                     if not task.done
                 ]
-            case messages.GivenUp() as given_up if missed_give_up(declared):
-                missed = [given_up]
+            case closed_jobs.Abandoned() as ending if missed_give_up(
+                owner, declared, ending
+            ):
+                missed = [
+                    msgspec.structs.replace(
+                        ending.given_up, attempt=declared.attempt
+                    )
+                ]
         for message in missed:
             self.state.add_action(
                 actions.NotifyOwner(owner=owner, message=message)
@@ -119,10 +130,22 @@
         return bool(missed)
 
 
-def missed_give_up(declared: messages.Declare) -> bool:
+def missed_give_up(
+    owner: values.InstanceName,
+    declared: messages.Declare,
+    ending: closed_jobs.Abandoned,
+) -> bool:
     """Return whether the owner missed the message that gave up its job.
 
     Unconfirmed jobs were given up because the link was lost, and are admitted
-    again.
+    again. An owner has one attempt of a job at a time: another one that was
+    given up is an earlier one.
+
+    Args:
+        owner: Instance that declares the job.
+        declared: Its declaration.
+        ending: How the job ended.
     """
+    if ending.owner == owner and ending.given_up.attempt != declared.attempt:
+        return False
     return declared.redeclared and not declared.unconfirmed
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -67,6 +67,7 @@
         self.earlier.log_declared_again(owner, declared)
         if tracked is not None:
             self.change_owner(tracked, owner)
+            tracked.attempt = declared.attempt
             self.resend_missed(tracked, declared)
             return
         if self.earlier.resend_ending(owner, declared):
@@ -98,6 +99,7 @@
                 job=job.job_id,
                 reason=values.GiveUpReason.TAKEN_OVER,
                 may_have_started=True,
+                attempt=job.attempt,
             ),
         )
         job.owner = owner
@@ -112,6 +114,7 @@
                         job=job.job_id,
                         index=task.index,
                         kind=values.EndKind.DONE,
+                        attempt=job.attempt,
                     ),
                 )
             elif (
@@ -119,7 +122,10 @@
             ):
                 start = (task.index, task.next_run - 1, task.worker)
                 self.state.notify_owner(
-                    job, messages.Begun(job=job.job_id, starts=(start,))
+                    job,
+                    messages.Begun(
+                        job=job.job_id, starts=(start,), attempt=job.attempt
+                    ),
                 )
 
     def refuse_if_overloaded(self, job: work.Job, now_s: float) -> bool:
@@ -247,10 +253,24 @@
         )
 
     def withdraw(
-        self, owner: values.InstanceName, job_id: values.JobId
+        self, owner: values.InstanceName, withdrawn: messages.Withdraw
     ) -> None:
-        """Give up a job that its owner withdraws."""
-        job = self.state.jobs.get(job_id)
+        """Give up a job that its owner withdraws.
+
+        Args:
+            owner: Instance that withdraws the job.
+            withdrawn: The attempt that it withdraws.
+        """
+        job = self.state.jobs.get(withdrawn.job)
         if job is None or job.owner != owner:
             return
+        if withdrawn.attempt not in {values.ANY_ATTEMPT, job.attempt}:
+            self.state.log_event(
+                'stale_attempt',
+                job=job.job_id,
+                kind='Withdraw',
+                attempt=withdrawn.attempt,
+                now=job.attempt,
+            )
+            return
         self.runs.give_up(job, values.GiveUpReason.WITHDRAWN)
--- a/packages/guavaroad/src/guavaroad/domain/pool/messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/messages.py
@@ -59,6 +59,7 @@
         redeclared: Whether the job was declared on an earlier link.
         owner_has_payload: Whether the payload is left out, as the owner sends
             the start orders.
+        attempt: Attempt that is declared; 0 if sent by an older build.
     """
 
     job: values.JobId
@@ -75,6 +76,7 @@
     after: tuple[tuple[int, ...], ...] = ((),)
     redeclared: bool = False
     owner_has_payload: bool = False
+    attempt: values.AttemptNumber = values.ANY_ATTEMPT
 
 
 class Withdraw(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -82,9 +84,11 @@
 
     Attributes:
         job: Id of the job.
+        attempt: Attempt that it withdraws; 0 if sent by an older build.
     """
 
     job: values.JobId
+    attempt: values.AttemptNumber = values.ANY_ATTEMPT
 
 
 class Begun(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -93,10 +97,12 @@
     Attributes:
         job: Id of the job.
         starts: Index of the task, run number and worker of each start.
+        attempt: Attempt that it is about; 0 if sent by an older build.
     """
 
     job: values.JobId
     starts: tuple[tuple[int, int, values.WorkerId], ...]
+    attempt: values.AttemptNumber = values.ANY_ATTEMPT
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -106,11 +112,13 @@
         job: Id of the job.
         index: Index of the task in the job.
         kind: How the run ended.
+        attempt: Attempt that it is about; 0 if sent by an older build.
     """
 
     job: values.JobId
     index: int
     kind: values.EndKind
+    attempt: values.AttemptNumber = values.ANY_ATTEMPT
 
 
 class GivenUp(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -122,6 +130,7 @@
         may_have_started: Whether a task of it may have started.
         retry_after_ms: Retry hint for the client, in milliseconds; 0 for none.
         detail: Inputs of the decision, for the log.
+        attempt: Attempt that it is about; 0 if sent by an older build.
     """
 
     job: values.JobId
@@ -129,6 +138,7 @@
     may_have_started: bool
     retry_after_ms: int = 0
     detail: str = ''
+    attempt: values.AttemptNumber = values.ANY_ATTEMPT
 
 
 ToOwner = Begun | Ended | GivenUp
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
@@ -134,6 +134,7 @@
 
     Attributes:
         request: The job as submitted.
+        attempt: Number of this submission at this instance.
         arrived_s: Time of arrival, in seconds.
         on_outcome: Called once with the outcome.
         tasks: Its tasks.
@@ -149,6 +150,7 @@
     """
 
     request: JobRequest
+    attempt: values.AttemptNumber
     arrived_s: float
     on_outcome: Callable[[JobOutcome], None]
     tasks: tuple[OpenTask, ...] = ()
@@ -200,8 +202,13 @@
             after=request.after,
             redeclared=self.was_declared,
             owner_has_payload=not with_payload,
+            attempt=self.attempt,
         )
 
+    def withdrawal(self) -> messages.Withdraw:
+        """Return the message that withdraws the job."""
+        return messages.Withdraw(job=self.request.job_id, attempt=self.attempt)
+
     def record_starts(self, message: messages.Begun) -> None:
         """Record starts of tasks."""
         for index, number, worker_id in message.starts:
@@ -268,6 +275,7 @@
 def open_job(
     request: JobRequest,
     *,
+    attempt: values.AttemptNumber,
     now_s: float,
     on_outcome: Callable[[JobOutcome], None],
 ) -> OpenJob:
@@ -275,12 +283,14 @@
 
     Args:
         request: The validated submission.
+        attempt: Number of this submission.
         now_s: Current time, in seconds.
         on_outcome: Called once with the outcome.
     """
     tasks = tuple(OpenTask(request=task) for task in request.tasks)
     return OpenJob(
         request=request,
+        attempt=attempt,
         arrived_s=now_s,
         on_outcome=on_outcome,
         tasks=tasks,
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
@@ -102,6 +102,7 @@
                 job=task.job.job_id,
                 index=task.index,
                 owner=task.job.owner,
+                attempt=task.job.attempt,
                 owner_has_payload=task.job.owner_has_payload,
             )
         )
@@ -114,7 +115,10 @@
     ) -> None:
         """Notify the owner of starts, ahead of the orders themselves."""
         self.state.notify_owner(
-            job, messages.Begun(job=job.job_id, starts=tuple(starts))
+            job,
+            messages.Begun(
+                job=job.job_id, starts=tuple(starts), attempt=job.attempt
+            ),
         )
         self.state.log_event(
             'placed',
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -233,7 +233,13 @@
         """Notify the owner of an end, and queue the task again if needed."""
         job = task.job
         self.state.notify_owner(
-            job, messages.Ended(job=job.job_id, index=task.index, kind=kind)
+            job,
+            messages.Ended(
+                job=job.job_id,
+                index=task.index,
+                kind=kind,
+                attempt=job.attempt,
+            ),
         )
         if kind is values.EndKind.DONE:
             self.record_done(task, now_s)
@@ -285,8 +291,12 @@
             may_have_started=job.may_have_started or job.may_have_run_before,
             retry_after_ms=retry_after_ms,
             detail=detail,
+            attempt=job.attempt,
+        )
+        self.state.closed.record(
+            job.job_id,
+            closed_jobs.Abandoned(owner=job.owner, given_up=given_up),
         )
-        self.state.closed.record(job.job_id, given_up)
         self.state.notify_owner(job, given_up)
         self.stop_all(job)
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/values.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/values.py
@@ -15,6 +15,11 @@
 CPU_MILLIS_PER_CORE: Final = 1000
 FIRST_RUN: Final = RunNumber(1)
 
+# Submission of a job at one instance; unique within the process.
+AttemptNumber = NewType('AttemptNumber', int)
+# In messages of builds that number no attempts.
+ANY_ATTEMPT: Final = AttemptNumber(0)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Amount:
--- a/packages/guavaroad/src/guavaroad/domain/pool/work.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/work.py
@@ -46,6 +46,7 @@
     Attributes:
         job_id: Id of the job.
         owner: Instance that answers the client.
+        attempt: Attempt at the owner that waits for the outcome.
         pool: Pool whose workers may run it.
         urgency: Urgency; 0 is the most urgent.
         max_attempts: Number of failed runs of one task that fails the job.
@@ -92,6 +93,7 @@
     unconfirmed_until_s: float = 0
     closed: bool = False
     owner_has_payload: bool = False
+    attempt: values.AttemptNumber = values.ANY_ATTEMPT
 
     def may_begin(self, step: int) -> bool:
         """Return whether all steps before this one are done."""
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -217,6 +217,7 @@
                         worker_state.worker_info.worker_id,
                     ),
                 ),
+                attempt=task.job.attempt,
             ),
         )
 
--- a/packages/guavaroad/src/guavaroad/services/pool/allocator_inbox.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/allocator_inbox.py
@@ -90,7 +90,7 @@
             case messages.Declare():
                 admission.declare(owner, message, self.timers.now())
             case messages.Withdraw():
-                admission.withdraw(owner, message.job)
+                admission.withdraw(owner, message)
         self.on_change()
 
     def receive_state(self, name: values.InstanceName, message: Any) -> None:
--- a/packages/guavaroad/src/guavaroad/services/pool/job_launcher.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_launcher.py
@@ -20,7 +20,7 @@
 
     def launch(self, message: agent_messages.LaunchRuns) -> None:
         """Send the start orders of a job."""
-        job = self.job_owner.jobs.get(message.job)
+        job = self.job_owner.attempts.find(message)
         if job is None:
             calls = tuple(launch.call for launch in message.launches)
             self.reject(calls, is_job_open=False)
--- a/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
@@ -4,18 +4,17 @@
 """
 
 from collections.abc import Callable
-from typing import Any, Final, Protocol
+from typing import Final, Protocol
 
 from guavaroad.domain import units
 from guavaroad.domain.pool import (
-    generations,
     messages,
     open_jobs,
     peer_messages,
     values,
 )
 from guavaroad.ports import timers
-from guavaroad.services.pool import decision_log
+from guavaroad.services.pool import decision_log, open_attempts
 
 # A job is withdrawn this long before its client times out, in milliseconds:
 # the allocator's answer that nothing has started must come back in time.
@@ -25,9 +24,6 @@
 # A job that could not be declared to an allocator is refused after this share
 # of the client's timeout. A takeover takes about half a second.
 UNDECLARED_TIMEOUT_SHARE: Final = 0.42
-# Minimum retention of the ids of jobs with an unknown outcome, in seconds.
-# Clients send such jobs again after 1.3 s.
-UNKNOWN_RETENTION_S: Final = 5
 
 
 class Sender(Protocol):
@@ -41,13 +37,12 @@
     """Open jobs of this instance.
 
     Attributes:
+        attempts: Attempts of clients to hand in jobs.
         jobs: Open jobs by id.
         link: Link to the allocator, if there is one.
         token: Token of the allocator that was last linked.
         launches: Whether this instance sends the start orders of its jobs, as
             the allocator asks for.
-        unknown: Jobs whose outcome was unknown recently: a client may send them
-            again.
     """
 
     def __init__(
@@ -59,14 +54,12 @@
         self.launches = False
         self.timers = timer_service
         self.decision_log = log
-        self.jobs: dict[values.JobId, open_jobs.OpenJob] = {}
+        self.attempts = open_attempts.OpenAttempts(
+            timer_service=timer_service, log=log
+        )
+        self.jobs = self.attempts.jobs
         self.link: Sender | None = None
         self.token = values.Token(0)
-        self.unknown: generations.Generations[values.JobId, bool] = (
-            generations.Generations(
-                retention_s=UNKNOWN_RETENTION_S, now_s=timer_service.now()
-            )
-        )
 
     def submit(
         self,
@@ -87,12 +80,8 @@
             # The client has sent the job again: it no longer waits for the
             # answer to its earlier request.
             self.finish(previous, open_jobs.OutcomeUnknown(reason='sent_again'))
-        now_s = self.timers.now()
-        job = open_jobs.open_job(request, now_s=now_s, on_outcome=on_outcome)
-        self.unknown.expire(now_s)
-        job.may_have_run_before = bool(self.unknown.find(request.job_id))
+        job = self.attempts.begin(request, on_outcome)
         job.unconfirmed = previous is not None
-        self.jobs[request.job_id] = job
         if self.link is not None:
             self.declare(job)
         timeout_ms = request.client_timeout_ms
@@ -135,7 +124,7 @@
     def withdraw(self, job: open_jobs.OpenJob) -> None:
         """Withdraw a job shortly before its client times out."""
         if job.declared and self.link is not None:
-            self.link.send(messages.Withdraw(job=job.request.job_id))
+            self.link.send(job.withdrawal())
         elif not job.was_declared and not job.may_have_started():
             self.finish(job, open_jobs.NotRun(reason='no_allocator'))
 
@@ -147,7 +136,7 @@
         """Withdraw a job whose client has disconnected."""
         if self.jobs.get(job.request.job_id) is job:
             if self.link is not None and job.declared:
-                self.link.send(messages.Withdraw(job=job.request.job_id))
+                self.link.send(job.withdrawal())
             self.finish(job, open_jobs.OutcomeUnknown(reason='client_left'))
 
     def on_allocator_linked(
@@ -190,9 +179,9 @@
                     'allocator_lost', job.age_ms(self.timers.now())
                 )
 
-    def receive(self, message: Any) -> None:
+    def receive(self, message: messages.ToOwner) -> None:
         """Process a message of the allocator about a job."""
-        job = self.jobs.get(message.job)
+        job = self.attempts.find(message)
         if job is None:
             return
         match message:
@@ -229,7 +218,7 @@
         """
         for job in tuple(self.jobs.values()):
             if self.link is not None and job.declared:
-                self.link.send(messages.Withdraw(job=job.request.job_id))
+                self.link.send(job.withdrawal())
             self.finish(job, job.abandoned_outcome(reason))
 
     def finish(
@@ -238,12 +227,9 @@
         """Answer a job and remove it."""
         if self.jobs.get(job.request.job_id) is not job:
             return
-        self.jobs.pop(job.request.job_id)
+        self.attempts.end(job, outcome)
         for timer in job.timers:
             timer.cancel()
-        is_unknown = isinstance(outcome, open_jobs.OutcomeUnknown)
-        if is_unknown and (job.was_declared or job.may_have_started()):
-            self.unknown.record(job.request.job_id, entry=True)
         self.decision_log.log_job_outcome(
             job, outcome, job.age_ms(self.timers.now())
         )
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/services/pool/open_attempts.py
@@ -0,0 +1,107 @@
+"""Attempts of clients to hand in jobs at this instance."""
+
+from collections.abc import Callable
+from typing import Final
+
+from guavaroad.domain import units
+from guavaroad.domain.pool import (
+    agent_messages,
+    generations,
+    messages,
+    open_jobs,
+    values,
+)
+from guavaroad.ports import timers
+from guavaroad.services.pool import decision_log
+
+# Minimum retention of the ids of jobs with an unknown outcome, in seconds.
+# Clients send such jobs again after 1.3 s.
+UNKNOWN_RETENTION_S: Final = 5
+
+
+class OpenAttempts:
+    """Numbers the attempts, and tells them apart in messages.
+
+    Attributes:
+        jobs: Open jobs by id.
+        number: Number of the last attempt.
+        unknown: Jobs whose outcome was unknown recently: a client may send them
+            again.
+    """
+
+    def __init__(
+        self,
+        *,
+        timer_service: timers.TimerService,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        now_s = timer_service.now()
+        self.timers = timer_service
+        self.decision_log = log
+        self.jobs: dict[values.JobId, open_jobs.OpenJob] = {}
+        # An earlier process under this name has used lower numbers.
+        self.number = units.to_ms(now_s)
+        self.unknown: generations.Generations[values.JobId, bool] = (
+            generations.Generations(
+                retention_s=UNKNOWN_RETENTION_S, now_s=now_s
+            )
+        )
+
+    def begin(
+        self,
+        request: open_jobs.JobRequest,
+        on_outcome: Callable[[open_jobs.JobOutcome], None],
+    ) -> open_jobs.OpenJob:
+        """Open a job under a new number.
+
+        Args:
+            request: The validated submission.
+            on_outcome: Called once with the outcome.
+
+        Returns:
+            The open job.
+        """
+        now_s = self.timers.now()
+        self.number += 1
+        job = open_jobs.open_job(
+            request,
+            attempt=values.AttemptNumber(self.number),
+            now_s=now_s,
+            on_outcome=on_outcome,
+        )
+        self.unknown.expire(now_s)
+        job.may_have_run_before = bool(self.unknown.find(request.job_id))
+        self.jobs[request.job_id] = job
+        return job
+
+    def end(
+        self, job: open_jobs.OpenJob, outcome: open_jobs.JobOutcome
+    ) -> None:
+        """Remove a job, and record whether its outcome is unknown."""
+        self.jobs.pop(job.request.job_id)
+        is_unknown = isinstance(outcome, open_jobs.OutcomeUnknown)
+        if is_unknown and (job.was_declared or job.may_have_started()):
+            self.unknown.record(job.request.job_id, entry=True)
+
+    def find(
+        self, message: messages.ToOwner | agent_messages.LaunchRuns
+    ) -> open_jobs.OpenJob | None:
+        """Return the open job that a message of the allocator is about.
+
+        Args:
+            message: The message.
+
+        Returns:
+            The job, or None if that attempt is over.
+        """
+        job = self.jobs.get(message.job)
+        if job is None or message.attempt in {values.ANY_ATTEMPT, job.attempt}:
+            return job
+        self.decision_log.log_event(
+            'stale_attempt',
+            job=message.job,
+            kind=type(message).__name__,
+            attempt=message.attempt,
+            now=job.attempt,
+        )
+        return None
--- a/packages/guavaroad/src/guavaroad/services/pool/start_router.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/start_router.py
@@ -17,7 +17,7 @@
         pending: Calls without an outcome.
         run_starter: Sends starts of jobs whose owner has left the payload to
             the allocator.
-        launches: Starts to announce to owners in this iteration, by job.
+        launches: Starts to announce to owners in this iteration, by attempt.
     """
 
     def __init__(
@@ -33,7 +33,7 @@
         self.pending = pending
         self.run_starter = starter
         self.launches: dict[
-            tuple[values.InstanceName, values.JobId],
+            tuple[values.InstanceName, values.JobId, values.AttemptNumber],
             list[agent_messages.Launch],
         ] = {}
 
@@ -71,7 +71,8 @@
         agent: values.InstanceName,
     ) -> None:
         """Add a start to those that the owner of a job is told of."""
-        self.launches.setdefault((action.owner, action.job), []).append(
+        attempt = (action.owner, action.job, action.attempt)
+        self.launches.setdefault(attempt, []).append(
             agent_messages.Launch(
                 call=pending.call,
                 index=action.index,
@@ -86,13 +87,15 @@
         """Send the collected starts to the owners of their jobs."""
         launches = self.launches
         self.launches = {}
-        for (owner, job), starts in launches.items():
+        for (owner, job, attempt), starts in launches.items():
             link = self.assignments.links.links.get(owner)
             if link is None:
                 self.refuse(tuple(start.call for start in starts))
                 continue
             link.send(
-                agent_messages.LaunchRuns(job=job, launches=tuple(starts))
+                agent_messages.LaunchRuns(
+                    job=job, launches=tuple(starts), attempt=attempt
+                )
             )
 
     def refuse(self, calls: tuple[agent_messages.CallNumber, ...]) -> None:
