Keep the end of a run that is not tracked while its task is

A client could be answered 503, "not run", after a worker had reported to the allocator how a run of the job had ended. A task that a worker had reported as done was started again.

Cause: a reported end was recorded for a tracked run, or as an early one if no job with the task was declared. In between it was dropped: the job is declared, by the second attempt of its client or after the loss of an allocator, and the report with the end of the earlier run arrives after that.

Fix: such an end marks the job as one that may have run, so that a refusal has an unknown outcome (504). If it is of the last known run or a later one, is done, and no run of the task is in progress, the task is done: that is the rule for the ends that are reported before the declaration. Ends of other kinds do not change the task.

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -16,3 +16,18 @@
     When worker 0 reports run 2 of the task
     And worker 1 reports no run
     Then the task is not started
+
+  Scenario: A job is not refused as not run after a worker has reported the end of a run of it
+    # The client had sent the job to an instance that was lost with its allocator,
+    # and sent it again to another one. The end came after that declaration.
+    Given an allocator with 2 workers and a job of 1 task without a known run
+    When worker 0 reports that the run has failed
+    And the owner withdraws its job
+    Then the job is given up as one that may have started
+
+  Scenario: A task is not started again after a worker has reported that a run of it is done
+    Given an allocator with 2 workers and a job of 1 task without a known run
+    When worker 0 reports that the run is done
+    And worker 1 reports no run
+    Then the task is not started
+    And an end of the task as done is sent to its owner
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -13,6 +13,7 @@
 
 JOB = values.JobId('1')
 TASK = values.TaskName('1.0.0.0')
+OWNER = values.InstanceName('owner')
 TAKEN_OVER_S = 10
 # Less than the period of the allocator's ticks.
 REPORT_INTERVAL_S = 0.005
@@ -35,7 +36,15 @@
     declare(context, workers, task)
 
 
-def declare(context, workers, task):
+@behave.given(
+    'an allocator with {workers:d} workers and a job of 1 task without a known run'
+)
+def given_without_known_run(context, workers):
+    task = messages.DeclaredTask(name=TASK, cpu=1000)
+    declare(context, workers, task, unconfirmed=False, redeclared=False)
+
+
+def declare(context, workers, task, *, unconfirmed=True, redeclared=True):
     context.now_s = TAKEN_OVER_S
     context.machine = allocator.Allocator(
         token=values.Token(2), now_s=context.now_s
@@ -48,7 +57,7 @@
         context.now_s,
     )
     context.machine.job_admission.declare(
-        values.InstanceName('owner'),
+        OWNER,
         messages.Declare(
             job=JOB,
             pool='pool',
@@ -60,8 +69,8 @@
             objective_ms=600,
             client_timeout_ms=6000,
             tasks=(task,),
-            unconfirmed=True,
-            redeclared=True,
+            unconfirmed=unconfirmed,
+            redeclared=redeclared,
         ),
         context.now_s,
     )
@@ -95,16 +104,32 @@
 
 
 @behave.when('worker {number:d} reports that the run was stopped')
-def when_reports_end(context, number):
+def when_reports_stopped(context, number):
+    report_end(context, number, values.EndKind.STOPPED)
+
+
+@behave.when('worker {number:d} reports that the run has failed')
+def when_reports_failed(context, number):
+    report_end(context, number, values.EndKind.FAILED)
+
+
+@behave.when('worker {number:d} reports that the run is done')
+def when_reports_done(context, number):
+    report_end(context, number, values.EndKind.DONE)
+
+
+def report_end(context, number, kind):
     end = outcomes.ListedEnd(
-        position=1,
-        task=TASK,
-        number=values.FIRST_RUN,
-        kind=values.EndKind.STOPPED,
+        position=1, task=TASK, number=values.FIRST_RUN, kind=kind
     )
     report(context, number, ended=(end,))
 
 
+@behave.when('the owner withdraws its job')
+def when_withdrawn(context):
+    context.machine.job_admission.withdraw(OWNER, messages.Withdraw(job=JOB))
+
+
 @behave.when('worker {number:d} reports no run')
 def when_reports_none(context, number):
     report(context, number)
@@ -127,6 +152,32 @@
     machine.place(now_s)
     return [
         action
-        for action in machine.pop_actions()
+        for action in machine.state.pending
         if isinstance(action, actions.StartRun)
     ]
+
+
+def sent_to_owner(machine):
+    return [
+        action.message
+        for action in machine.pop_actions()
+        if isinstance(action, actions.NotifyOwner)
+    ]
+
+
+@behave.then('the job is given up as one that may have started')
+def then_may_have_started(context):
+    sent = sent_to_owner(context.machine)
+    match sent[-1]:
+        case messages.GivenUp(may_have_started=True):
+            return
+    raise AssertionError(sent)
+
+
+@behave.then('an end of the task as done is sent to its owner')
+def then_done(context):
+    sent = sent_to_owner(context.machine)
+    match sent[-1]:
+        case messages.Ended(index=0, kind=values.EndKind.DONE):
+            return
+    raise AssertionError(sent)
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -10,6 +10,7 @@
     outcomes,
     run_tracker,
     values,
+    work,
     worker,
     worker_health,
 )
@@ -232,10 +233,30 @@
         if run is not None and run.number == end.number:
             self.runs.end_run(worker_state, run, end.kind, now_s)
             return
-        if self.state.tasks.get(end.task) is None:
+        task = self.state.tasks.get(end.task)
+        if task is None:
             self.state.early_ends[end.task] = allocator_state.EarlyEnd(
                 number=end.number, kind=end.kind, recorded_s=now_s
             )
+            return
+        self.record_untracked_end(task, end, now_s)
+
+    def record_untracked_end(
+        self, task: work.Task, end: outcomes.ListedEnd, now_s: float
+    ) -> None:
+        """Apply the end of a run that is not tracked, though its task is.
+
+        Another allocator has started it, or its lease has lapsed.
+        """
+        task.job.may_have_run_before = True
+        is_latest = end.number >= task.next_run - 1
+        if end.kind is not values.EndKind.DONE or not is_latest:
+            return
+        if task.done or task.worker is not None:
+            return
+        if task in task.job.waiting:
+            self.state.pool(task.job.pool).backlog.remove_task(task)
+        self.runs.record_end(task, end.kind, now_s)
 
     def on_restart(
         self, worker_state: worker.Worker, started_ms: int, now_s: float
