--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -248,6 +248,7 @@
                 job=job.job_id,
                 index=task.index,
                 kind=kind,
+                attempt=job.attempt,
                 losses=self.crashes.find(task.name).losses(),
             ),
         )
@@ -303,8 +304,12 @@
             may_have_started=job.may_have_started or job.may_have_run_before,
             retry_after_ms=retry_after_ms,
             detail=detail,
+            attempt=job.attempt,
+        )
+        self.state.closed.record(
+            job.job_id,
+            closed_jobs.Abandoned(owner=job.owner, given_up=given_up),
         )
-        self.state.closed.record(job.job_id, given_up)
         self.state.notify_owner(job, given_up)
         self.stop_all(job)
 
