Hold a task back while a worker reports an unclaimed run of it

What callers saw: two runs of a task at a time. The owner had declared run 1 on one worker, and an allocator that was lost since had placed run 2 on another one.

Cause: a reported run is recorded as unclaimed while its task is expected on another worker. When run 1 turned out to be over, nothing looked for unclaimed runs: the task was queued at once, and started beside run 2.

`queue_task`, which every start passes, now holds the task back while any worker reports a run of it, and numbers its next run after all of these. The workers with unclaimed runs are found in the new `OpenRuns`, which the whole allocator shares; nearly always there are none.

An unclaimed run counts towards the lease of its worker from each report on, and is dropped when that lease has lapsed: a worker that is silent holds a task for 1.1 s after its last report. Such runs were never dropped before, and were stopped at a silent worker for as long as it was tracked.

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -16,3 +16,28 @@
     When worker 0 reports run 2 of the task
     And worker 1 reports no run
     Then the task is not started
+
+  Scenario: A task is not started while another worker reports an earlier run of it
+    Given an allocator with 2 workers and an unconfirmed job with known run 2 on worker 1
+    When worker 0 reports run 1 of the task
+    And worker 1 reports no run
+    Then the task is not started
+
+  Scenario: A task is started after a reported run of it that a silent worker had
+    # Nothing else would end the wait for the worker's next report.
+    Given an allocator with 2 workers and an unconfirmed job with a known run on worker 1
+    When worker 0 reports run 2 of the task
+    And worker 1 reports no run
+    And worker 0 is silent for 1.05 s
+    Then the task is not started
+    When worker 0 is silent for 0.1 s
+    And worker 1 reports no run
+    Then run 3 of the task is started
+
+  Scenario: A task is continued by a later run of it that another worker reports
+    Given an allocator with 2 workers and an unconfirmed job with a known run on worker 1
+    When worker 0 reports run 2 of the task
+    And worker 1 reports no run
+    And worker 0 reports run 2 of the task
+    Then the task is not started
+    And the owner knows run 2 on worker 0
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -29,8 +29,15 @@
     'an allocator with {workers:d} workers and an unconfirmed job with a known run on worker {number:d}'
 )
 def given_known_run(context, workers, number):
+    given_known_number(context, workers, values.FIRST_RUN, number)
+
+
+@behave.given(
+    'an allocator with {workers:d} workers and an unconfirmed job with known run {run:d} on worker {number:d}'
+)
+def given_known_number(context, workers, run, number):
     task = messages.DeclaredTask(
-        name=TASK, cpu=1000, run=1, worker=values.WorkerId(f'w{number}')
+        name=TASK, cpu=1000, run=run, worker=values.WorkerId(f'w{number}')
     )
     declare(context, workers, task)
 
@@ -110,23 +117,49 @@
     report(context, number)
 
 
+@behave.when('worker {number:d} is silent for {seconds:g} s')
+def when_silent(context, number, seconds):
+    context.now_s += seconds
+
+
 @behave.then('the task is started once')
 def then_started_once(context):
-    starts = starts_of(context.machine, context.now_s)
+    starts = starts_in(decisions(context.machine, context.now_s))
     assert len(starts) == 1, starts
 
 
 @behave.then('the task is not started')
 def then_not_started(context):
-    starts = starts_of(context.machine, context.now_s)
+    context.decisions = decisions(context.machine, context.now_s)
+    starts = starts_in(context.decisions)
     assert not starts, starts
 
 
-def starts_of(machine, now_s):
-    machine.tick(now_s)
+@behave.then('run {run:d} of the task is started')
+def then_run_started(context, run):
+    starts = starts_in(decisions(context.machine, context.now_s))
+    assert [start.number for start in starts] == [run], starts
+
+
+@behave.then('the owner knows run {run:d} on worker {number:d}')
+def then_owner_told(context, run, number):
+    begun = [
+        action.message.starts
+        for action in context.decisions
+        if isinstance(action, actions.NotifyOwner)
+        and isinstance(action.message, messages.Begun)
+    ]
+    assert begun == [((0, run, f'w{number}'),)], begun
+
+
+def decisions(machine, now_s):
+    for _ in range(allocator.CHECK_PARTS):
+        machine.tick(now_s)
     machine.place(now_s)
+    return machine.pop_actions()
+
+
+def starts_in(decided):
     return [
-        action
-        for action in machine.pop_actions()
-        if isinstance(action, actions.StartRun)
+        action for action in decided if isinstance(action, actions.StartRun)
     ]
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
@@ -61,9 +61,7 @@
             state=self.state, reports=self.reports
         )
         self.orphans = orphans.Orphans(state=self.state, runs=self.runs)
-        self.takeover = takeover.Takeover(
-            state=self.state, reports=self.reports
-        )
+        self.takeover = takeover.Takeover(state=self.state)
         self.checked_part = 0
         self.placement_scheduler = placement_scheduler.PlacementScheduler(
             state=self.state
@@ -115,7 +113,7 @@
 
     def check_worker(self, worker_state: worker.Worker, now_s: float) -> None:
         """Check a worker for lapsed leases, stragglers and removal."""
-        if worker_state.runs and worker_state.lease.ends_s < now_s:
+        if worker_state.may_have_runs() and worker_state.lease.ends_s < now_s:
             self.state.log_event(
                 'worker_lapsed',
                 worker=worker_state.worker_info.worker_id,
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
@@ -11,6 +11,7 @@
     capacity_reserve,
     closed_jobs,
     messages,
+    open_runs,
     placement,
     values,
     work,
@@ -57,9 +58,9 @@
         tasks: Tasks of declared jobs by name.
         lost_owners: Instances whose link is lost. None of their tasks is
             placed, since another allocator may have their jobs by now.
-        runs: Runs that hold capacity on a worker, by task.
+        runs: Runs that are not known to be over.
         unconfirmed_tasks: Tasks that may still run on an unreachable worker, or
-            whose run for a closed job is not over.
+            whose run for a closed job or unclaimed run is not over.
         unlisted_tasks: Tasks that may run on a worker that is not in the
             platform's list yet, each with the time since when that is known.
         pending: Actions that have not been returned yet.
@@ -76,7 +77,7 @@
         self.early_ends: dict[values.TaskName, EarlyEnd] = {}
         self.tasks: dict[values.TaskName, work.Task] = {}
         self.lost_owners: set[values.InstanceName] = set()
-        self.runs: dict[values.TaskName, worker.Run] = {}
+        self.runs = open_runs.OpenRuns()
         self.unconfirmed_tasks: list[work.Task] = []
         self.unlisted_tasks: list[tuple[float, work.Task]] = []
         self.pending: list[actions.Action] = []
@@ -134,8 +135,8 @@
         run = worker_state.remove_run(name)
         if run is None:
             return False
-        if self.runs.get(name) is run:
-            self.runs.pop(name)
+        if self.runs.tracked.get(name) is run:
+            self.runs.tracked.pop(name)
         self.update_capacity(worker_state)
         task = run.task
         if task.worker == worker_state.worker_info.worker_id:
@@ -155,9 +156,9 @@
         if not task.job.may_begin(task.step):
             task.job.held.append(task)
             return
-        previous = self.runs.get(task.name)
+        previous = self.runs.last_number(task.name)
         if previous is not None:
-            after = values.RunNumber(previous.number + 1)
+            after = values.RunNumber(previous + 1)
             task.next_run = max(task.next_run, after)
         is_unconfirmed = (
             task.job.unconfirmed_until_s > now_s and not self.all_synced()
@@ -193,7 +194,7 @@
     def add_run(self, worker_state: worker.Worker, run: worker.Run) -> None:
         """Reserve capacity on a worker for a run."""
         worker_state.add_run(run)
-        self.runs[run.task.name] = run
+        self.runs.tracked[run.task.name] = run
         run.task.worker = worker_state.worker_info.worker_id
         run.task.next_run = values.RunNumber(
             max(run.task.next_run, run.number + 1)
--- a/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -10,7 +10,6 @@
     closed_jobs,
     messages,
     values,
-    worker_reports,
 )
 
 
@@ -19,17 +18,10 @@
 
     Attributes:
         state: State of the allocator.
-        reports: Processes the run reports of workers.
     """
 
-    def __init__(
-        self,
-        *,
-        state: allocator_state.AllocatorState,
-        reports: worker_reports.WorkerReports,
-    ) -> None:
+    def __init__(self, *, state: allocator_state.AllocatorState) -> None:
         self.state = state
-        self.reports = reports
 
     def log_declared_again(
         self, owner: values.InstanceName, declared: messages.Declare
@@ -75,11 +67,9 @@
 
     def has_reported_run(self, declared: messages.Declare) -> bool:
         """Return whether a run of a task is or was reported by a worker."""
-        reporting = self.reports.workers_with_unclaimed_runs()
         return any(
-            task.name in self.state.runs
-            or task.name in self.state.early_ends
-            or any(task.name in found.unclaimed_runs for found in reporting)
+            task.name in self.state.early_ends
+            or self.state.runs.last_number(task.name) is not None
             for task in declared.tasks
         )
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -46,9 +46,7 @@
         self.state = state
         self.runs = runs
         self.reports = reports
-        self.earlier = earlier_declarations.EarlierDeclarations(
-            state=state, reports=reports
-        )
+        self.earlier = earlier_declarations.EarlierDeclarations(state=state)
 
     def declare(
         self,
@@ -202,7 +200,7 @@
 
     def adopt_reported(self, name: values.TaskName, now_s: float) -> bool:
         """Adopt an unclaimed run of a task; return whether there is one."""
-        for worker_state in self.reports.workers_with_unclaimed_runs():
+        for worker_state in self.state.runs.reporters.values():
             number = worker_state.unclaimed_runs.pop(name, None)
             if number is not None:
                 listed = outcomes.ListedRun(task=name, number=number)
--- /dev/null
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_runs.py
@@ -0,0 +1,45 @@
+"""Runs that are not known to be over."""
+
+from guavaroad.domain.pool import values, worker
+
+
+class OpenRuns:
+    """Runs that hold capacity, and unclaimed runs that workers report.
+
+    Attributes:
+        tracked: Runs that hold capacity on a worker, by task.
+        reporters: Workers that report unclaimed runs, by id. There are nearly
+            always none.
+    """
+
+    def __init__(self) -> None:
+        self.tracked: dict[values.TaskName, worker.Run] = {}
+        self.reporters: dict[values.WorkerId, worker.Worker] = {}
+
+    def last_number(self, name: values.TaskName) -> values.RunNumber | None:
+        """Return the highest number of the open runs of a task."""
+        numbers = [
+            reporter.unclaimed_runs[name]
+            for reporter in self.reporters.values()
+            if name in reporter.unclaimed_runs
+        ]
+        run = self.tracked.get(name)
+        if run is not None:
+            numbers.append(run.number)
+        return max(numbers, default=None)
+
+    def note_unclaimed(self, worker_state: worker.Worker, now_s: float) -> None:
+        """Record since when a worker reports unclaimed runs, if it does."""
+        if not worker_state.unclaimed_runs:
+            self.drop_unclaimed(worker_state)
+            return
+        self.reporters[worker_state.worker_info.worker_id] = worker_state
+        worker_state.lease.inherit(now_s)
+        if worker_state.unclaimed_since_s is None:
+            worker_state.unclaimed_since_s = now_s
+
+    def drop_unclaimed(self, worker_state: worker.Worker) -> None:
+        """Drop the unclaimed runs of a worker, which are over."""
+        worker_state.unclaimed_runs = {}
+        worker_state.unclaimed_since_s = None
+        self.reporters.pop(worker_state.worker_info.worker_id, None)
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -302,9 +302,9 @@
 
     def expire_leases(self, worker_state: worker.Worker, now_s: float) -> None:
         """End every run of a worker whose leases must have lapsed."""
+        self.state.runs.drop_unclaimed(worker_state)
         for run in tuple(worker_state.runs.values()):
             self.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
-        worker_state.unclaimed_runs = {}
         worker_state.is_synced = False
 
     def log_moved(self, worker_state: worker.Worker, run: worker.Run) -> None:
--- a/packages/guavaroad/src/guavaroad/domain/pool/takeover.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/takeover.py
@@ -7,7 +7,6 @@
     allocator_state,
     leases,
     worker,
-    worker_reports,
 )
 
 # Retention of ends whose job no owner has declared yet, in seconds. Owners
@@ -27,21 +26,14 @@
 
     Attributes:
         state: State of the allocator.
-        reports: Knows the workers with unclaimed runs.
     """
 
-    def __init__(
-        self,
-        *,
-        state: allocator_state.AllocatorState,
-        reports: worker_reports.WorkerReports,
-    ) -> None:
+    def __init__(self, *, state: allocator_state.AllocatorState) -> None:
         self.state = state
-        self.reports = reports
 
     def clean_up(self, now_s: float) -> None:
         """Stop unclaimed runs, drop old ends and queue tasks held back."""
-        for worker_state in self.reports.workers_with_unclaimed_runs():
+        for worker_state in self.state.runs.reporters.values():
             since_s = worker_state.unclaimed_since_s
             if since_s is not None and now_s - since_s > UNCLAIMED_GRACE_S:
                 self.stop_unclaimed(worker_state, now_s)
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -124,6 +124,10 @@
             and sent_s <= self.incarnation_seen_s
         )
 
+    def may_have_runs(self) -> bool:
+        """Return whether it may have any run."""
+        return bool(self.runs or self.unclaimed_runs)
+
     def may_extend_lease(self) -> bool:
         """Return whether the lease of the worker's runs may be extended.
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -21,7 +21,6 @@
     Attributes:
         state: State of the allocator.
         runs: Tracks runs.
-        unclaimed_workers: Workers that report unclaimed runs.
         answer_times: How long polls without a wait take.
     """
 
@@ -33,7 +32,6 @@
     ) -> None:
         self.state = state
         self.runs = runs
-        self.unclaimed_workers: set[values.WorkerId] = set()
         self.answer_times = answer_times.AnswerTimes()
 
     def record_report(
@@ -126,7 +124,7 @@
                 self.update_progress(run, entry, now_s)
             else:
                 self.adopt_run(worker_state, entry, now_s)
-        self.note_unclaimed(worker_state, now_s)
+        self.state.runs.note_unclaimed(worker_state, now_s)
         missing = [
             run
             for name, run in worker_state.runs.items()
@@ -138,25 +136,6 @@
                     worker_state, run, values.EndKind.LAPSED, now_s
                 )
 
-    def note_unclaimed(self, worker_state: worker.Worker, now_s: float) -> None:
-        """Record since when a worker reports unclaimed runs, if it does."""
-        worker_id = worker_state.worker_info.worker_id
-        if not worker_state.unclaimed_runs:
-            worker_state.unclaimed_since_s = None
-            self.unclaimed_workers.discard(worker_id)
-            return
-        self.unclaimed_workers.add(worker_id)
-        if worker_state.unclaimed_since_s is None:
-            worker_state.unclaimed_since_s = now_s
-
-    def workers_with_unclaimed_runs(self) -> list[worker.Worker]:
-        """Return the workers that report unclaimed runs."""
-        return [
-            worker_state
-            for worker_id in self.unclaimed_workers
-            if (worker_state := self.state.workers.get(worker_id)) is not None
-        ]
-
     def update_progress(
         self, run: worker.Run, entry: outcomes.ListedRun, now_s: float
     ) -> None:
