--- a/features/steps/refused_starts_steps.py
+++ b/features/steps/refused_starts_steps.py
@@ -241,7 +241,9 @@
 
 @behave.when('the job is withdrawn')
 def when_withdrawn(context):
-    context.scene.machine.job_admission.withdraw(OWNER, JOB)
+    context.scene.machine.job_admission.withdraw(
+        OWNER, messages.Withdraw(job=JOB)
+    )
 
 
 @behave.when('a run of the task is found on worker {number:d}')
--- a/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
@@ -65,10 +65,10 @@
 
     def end_runs(self, worker_state: worker.Worker, now_s: float) -> None:
         """End every run of a worker."""
+        self.state.runs.drop_unclaimed(worker_state)
         for run in tuple(worker_state.runs.values()):
             self.log_lost(worker_state, run)
             self.runs.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
-        worker_state.unclaimed_runs = {}
         worker_state.is_synced = False
 
     def log_lost(self, worker_state: worker.Worker, run: worker.Run) -> None:
