Place tasks on other workers while one has shrunk

No report from users: found with scenarios for workers whose capacity shrinks and grows while they run. A worker that shrinks below what it runs has less than no free cores; these were added to the free cores of its pool, so that tasks were held back although they fitted another worker.

Such a worker counts as 0 now. "A worker that has shrunk does not keep tasks from the others" failed before: job 5 did not start beside 22 free cores.

The scene of the refused starts is shared in support/.

--- a/features/steps/refused_starts_steps.py
+++ b/features/steps/refused_starts_steps.py
@@ -2,194 +2,37 @@
 
 import behave
 
-from guavaroad.domain.pool import (
-    actions,
-    allocator,
-    messages,
-    outcomes,
-    values,
-)
-from guavaroad_standins import pool_worker
+from guavaroad.domain.pool import outcomes, values
+from support import allocator_scenes
 
 JOB = values.JobId('1')
-OWNER = values.InstanceName('owner')
-TAKEN_OVER_S = 10
-# Period of the allocator's ticks.
-TICK_S = 0.02
-# Time until a call returns.
-CALL_S = 0.001
-MAX_STARTS_A_TICK = 50
-LOWEST_URGENCY = 9
-ROUNDING = 1e-6
-
-
-class Scene:
-    """An allocator whose starts are answered at once.
-
-    Attributes:
-        refusals: Reason for which each worker refuses its starts.
-        starts: Workers of the starts, in order.
-        logged: Lines of the decision log.
-    """
-
-    def __init__(self, *, workers, cpu):
-        self.now_s = TAKEN_OVER_S
-        self.machine = allocator.Allocator(
-            token=values.Token(2), now_s=self.now_s
-        )
-        self.infos = [
-            pool_worker.worker_info_of(number, zone='a', cpu=cpu)
-            for number in range(workers)
-        ]
-        self.refusals = {}
-        self.starts = []
-        self.logged = []
-        self.machine.update_workers(self.infos, self.now_s)
-        for worker_info in self.infos:
-            self.report(worker_info.worker_id)
-
-    def report(self, worker_id, *, ended=(), extra=()):
-        """Receive a report of every run that the allocator tracks."""
-        worker_state = self.machine.state.workers[worker_id]
-        self.now_s += CALL_S
-        self.machine.reports.record_report(
-            worker_id=worker_id,
-            report=outcomes.RunReport(
-                clock_ms=int(self.now_s * 1000),
-                started_ms=worker_state.worker_info.started_ms,
-                running=tuple(
-                    outcomes.ListedRun(task=name, number=run.number)
-                    for name, run in worker_state.runs.items()
-                    if name not in {end.task for end in ended}
-                )
-                + extra,
-                ended=ended,
-            ),
-            sent_s=self.now_s,
-            now_s=self.now_s,
-        )
-
-    def declare(self, job_id, tasks, cpu):
-        """Declare a job."""
-        self.machine.job_admission.declare(
-            OWNER,
-            messages.Declare(
-                job=job_id,
-                pool='pool',
-                urgency=0,
-                max_attempts=4,
-                payload='',
-                estimate_ms=900,
-                age_ms=0,
-                objective_ms=600,
-                client_timeout_ms=6000,
-                tasks=tuple(
-                    messages.DeclaredTask(
-                        name=values.TaskName(f'{job_id}.{index}'), cpu=cpu
-                    )
-                    for index in range(tasks)
-                ),
-            ),
-            self.now_s,
-        )
-
-    def run(self, seconds):
-        """Let time pass; the starts are answered at once."""
-        for _ in range(int(seconds / TICK_S + 0.5)):
-            self.report_reached()
-            self.machine.tick(self.now_s)
-            self.answer_starts()
-            self.check_backlog()
-            self.now_s += TICK_S
-
-    def report_reached(self):
-        """Receive the reports of the workers that are reached."""
-        for worker_info in self.infos:
-            worker_id = worker_info.worker_id
-            refusal = self.refusals.get(worker_id)
-            if refusal is not outcomes.Refusal.UNREACHED:
-                self.report(worker_id)
-
-    def check_backlog(self):
-        """Check the waiting core-seconds against the waiting tasks."""
-        state = self.machine.state
-        waiting_core_s = sum(
-            task.need.cpu * task.estimate_s / values.CPU_MILLIS_PER_CORE
-            for job in state.jobs.values()
-            for task in job.waiting
-        )
-        counted = state.pool('pool').backlog.core_s_ahead(LOWEST_URGENCY)
-        assert abs(counted - waiting_core_s) < ROUNDING, counted
-
-    def answer_starts(self):
-        """Place tasks until no more start is ordered."""
-        for _ in range(MAX_STARTS_A_TICK):
-            self.machine.place(self.now_s)
-            ordered = self.pop_starts()
-            if not ordered:
-                return
-            for start in ordered:
-                self.answer(start)
-
-    def pop_starts(self):
-        """Return the new starts."""
-        popped = self.machine.pop_actions()
-        self.logged += [
-            action for action in popped if isinstance(action, actions.LogEvent)
-        ]
-        return [
-            action for action in popped if isinstance(action, actions.StartRun)
-        ]
-
-    def answer(self, start):
-        """Accept or refuse a start."""
-        self.starts.append(start.worker_id)
-        refusal = self.refusals.get(start.worker_id)
-        outcome = outcomes.Accepted(clock_ms=int(self.now_s * 1000))
-        if refusal is not None:
-            outcome = outcomes.Refused(reason=refusal)
-        self.machine.runs.on_start_outcome(
-            worker_id=start.worker_id,
-            name=start.task,
-            number=start.number,
-            outcome=outcome,
-            now_s=self.now_s,
-        )
-
-    def worker(self, number):
-        """Return a worker as tracked by the allocator."""
-        return self.machine.state.workers[worker_id_of(number)]
-
-
-def worker_id_of(number):
-    return values.WorkerId(f'w{number}')
 
 
 @behave.given(
     'an allocator with {workers:d} free workers and a job of {tasks:d} task'
 )
 def given_allocator(context, workers, tasks):
-    context.scene = Scene(workers=workers, cpu=32_000)
+    context.scene = allocator_scenes.AllocatorScene(workers=workers, cpu=32_000)
     context.scene.declare(JOB, tasks, 1000)
 
 
 @behave.when("worker {number:d} can't be reached for {seconds:g} s")
 def when_unreached(context, number, seconds):
     refusal = outcomes.Refusal.UNREACHED
-    context.scene.refusals[worker_id_of(number)] = refusal
+    context.scene.refusals[allocator_scenes.worker_id_of(number)] = refusal
     context.scene.run(seconds)
 
 
 @behave.when('worker {number:d} can be reached for {seconds:g} s')
 def when_reached(context, number, seconds):
-    context.scene.refusals.pop(worker_id_of(number))
+    context.scene.refusals.pop(allocator_scenes.worker_id_of(number))
     context.scene.run(seconds)
 
 
 @behave.when('worker {number:d} refuses starts as "{reason}" for {seconds:g} s')
 def when_refused(context, number, reason, seconds):
     refusal = outcomes.Refusal(reason)
-    context.scene.refusals[worker_id_of(number)] = refusal
+    context.scene.refusals[allocator_scenes.worker_id_of(number)] = refusal
     context.scene.run(seconds)
 
 
@@ -215,7 +58,7 @@
 @behave.when('worker {number:d} refuses 1 start as "{reason}"')
 def when_refused_once(context, number, reason):
     scene = context.scene
-    worker_id = worker_id_of(number)
+    worker_id = allocator_scenes.worker_id_of(number)
     scene.refusals[worker_id] = outcomes.Refusal(reason)
     scene.machine.place(scene.now_s)
     start = next(iter(scene.pop_starts()))
@@ -235,13 +78,13 @@
         number=run.number,
         kind=values.EndKind.FAILED,
     )
-    context.scene.report(worker_id_of(number), ended=(end,))
+    context.scene.report(allocator_scenes.worker_id_of(number), ended=(end,))
     when_refused_once(context, number, reason)
 
 
 @behave.when('the job is withdrawn')
 def when_withdrawn(context):
-    context.scene.machine.job_admission.withdraw(OWNER, JOB)
+    context.scene.machine.job_admission.withdraw(allocator_scenes.OWNER, JOB)
 
 
 @behave.when('a run of the task is found on worker {number:d}')
@@ -249,7 +92,7 @@
     scene = context.scene
     task = next(iter(scene.machine.state.tasks.values()))
     listed = outcomes.ListedRun(task=task.name, number=values.RunNumber(99))
-    scene.report(worker_id_of(number), extra=(listed,))
+    scene.report(allocator_scenes.worker_id_of(number), extra=(listed,))
 
 
 @behave.then('no task runs on worker {number:d}')
@@ -260,7 +103,7 @@
 
 @behave.then('at most {most:d} starts were sent to worker {number:d}')
 def then_starts(context, most, number):
-    sent = context.scene.starts.count(worker_id_of(number))
+    sent = context.scene.starts.count(allocator_scenes.worker_id_of(number))
     assert 0 < sent <= most, sent
 
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -32,7 +32,8 @@
         workers: Workers by id.
         indexed_cpu: Free cores under which each worker is indexed, in
             thousandths.
-        free_cpu: Free thousandths of a core of all workers.
+        free_cpu: Free thousandths of a core of all workers. A worker that has
+            shrunk below what it runs counts as 0.
         usable_cores: Cores of the usable workers as last counted.
         cores_counted_s: Time of that count, in seconds.
     """
@@ -54,7 +55,8 @@
         if indexed is not None:
             self.order.remove((indexed, worker_id))
         self.order.add((worker_state.free_cpu, worker_id))
-        self.free_cpu += worker_state.free_cpu - (indexed or 0)
+        free_before = max(indexed or 0, 0)
+        self.free_cpu += max(worker_state.free_cpu, 0) - free_before
         self.indexed_cpu[worker_id] = worker_state.free_cpu
         self.workers[worker_id] = worker_state
 
@@ -63,7 +65,7 @@
         indexed = self.indexed_cpu.pop(worker_id, None)
         if indexed is not None:
             self.order.remove((indexed, worker_id))
-            self.free_cpu -= indexed
+            self.free_cpu -= max(indexed, 0)
             self.workers.pop(worker_id)
 
     def choose(self, task: work.Task, now_s: float) -> worker.Worker | None:
--- a/standins/src/guavaroad_standins/pool_worker.py
+++ b/standins/src/guavaroad_standins/pool_worker.py
@@ -29,6 +29,8 @@
 MEMORY_MB: Final = 128_000
 PERCENT_PER_UNIT: Final = 100
 MAX_PERCENT: Final = 99
+# Time for which starts may still follow an earlier capacity, in seconds.
+CAPACITY_GRACE_S: Final = 3
 
 
 def _ignore(*_: Any) -> None:
@@ -139,6 +141,8 @@
         token: Highest fencing token that it has seen.
         is_up: Whether it is running.
         faults: Its faults.
+        earlier_cpu: Earlier capacities in thousandths of a core, each with the
+            time until which starts may follow it.
     """
 
     def __init__(
@@ -157,6 +161,7 @@
         self.pending_polls: list[Callable[[], None]] = []
         self.is_up = True
         self.faults = Faults()
+        self.earlier_cpu: list[tuple[float, int]] = []
 
     def clock_ms(self) -> int:
         """Return the time of its clock, in milliseconds."""
@@ -201,7 +206,7 @@
             timer=timer,
         )
         cpu_needs = (self.history.cpu.get(task, 0) for task in self.running)
-        if sum(cpu_needs) > self.worker_info.capacity.cpu:
+        if sum(cpu_needs) > allowed_cpu(self):
             self.history.violations.append(f'{worker_id} over its capacity')
 
     def end(
@@ -336,6 +341,28 @@
     sim_worker.lease_until_ms = 0
 
 
+def resize(sim_worker: SimWorker, cpu: int) -> None:
+    """Change the capacity of a worker.
+
+    Args:
+        sim_worker: The worker.
+        cpu: Its new capacity, in thousandths of a core.
+    """
+    grace_end_s = sim_worker.clock.seconds() + CAPACITY_GRACE_S
+    capacity = sim_worker.worker_info.capacity
+    sim_worker.earlier_cpu.append((grace_end_s, capacity.cpu))
+    sim_worker.worker_info = dataclasses.replace(
+        sim_worker.worker_info, capacity=dataclasses.replace(capacity, cpu=cpu)
+    )
+
+
+def allowed_cpu(sim_worker: SimWorker) -> int:
+    """Return the largest capacity that starts may follow now."""
+    now_s = sim_worker.clock.seconds()
+    earlier = [cpu for end_s, cpu in sim_worker.earlier_cpu if end_s > now_s]
+    return max(sim_worker.worker_info.capacity.cpu, *earlier, 0)
+
+
 class SimWorkers:
     """Connections of one instance to the workers; implements the port.
 
