Let simulated workers refuse connections, and shrink at random

Workers can refuse connections now (off by default); random faults include that, also for crashed workers, and changes of capacity.

The scenario counts the start orders of each task while all workers have crashed and refuse connections for 2 s.

--- a/features/pool/refused_starts.feature
+++ b/features/pool/refused_starts.feature
@@ -59,3 +59,20 @@
     And all workers accept starts for 0.5 s
     Then the task runs on worker 1
     And no task runs on worker 0
+
+  Scenario Outline: Starts are seldom repeated while all workers have crashed
+    # Each start was refused without a connection, and repeated in the same instant.
+    Given a pool of 6 instances in zones "a b c" with 12 workers and links of <link> kB/s
+    When 2 s pass in the pool
+    And all workers crash and refuse connections for 2 s under <per s> jobs per second
+    And 6 s pass in the pool
+    Then no task was ordered to start more than 12 times
+    And every instance becomes idle
+    And no invariant is violated
+
+    Examples:
+      | link | per s |
+      | 1500 | 10    |
+      | 1500 | 40    |
+      | 100  | 10    |
+      | 100  | 40    |
--- a/features/steps/refused_starts_steps.py
+++ b/features/steps/refused_starts_steps.py
@@ -1,8 +1,11 @@
 """Steps for starts that are refused."""
 
+import collections
+
 import behave
 
 from guavaroad.domain.pool import outcomes, values
+from guavaroad_standins import pool_worker
 from support import allocator_scenes
 
 JOB = values.JobId('1')
@@ -113,3 +116,30 @@
     assert len(runs) == 1, runs
     states = [run.state for run in runs.values()]
     assert states == [values.RunState.RUNNING], states
+
+
+@behave.when(
+    'all workers crash and refuse connections for {seconds:g} s under {per_s:d} jobs per second'
+)
+def when_all_crash(context, seconds, per_s):
+    pool = context.pool
+    load = {'tasks': 2, 'work_ms': 300}
+    pool.load(1, per_s, **load)
+    for worker in pool.workers.values():
+        worker.crash()
+        worker.faults.refuses = True
+    pool.load(seconds, per_s, **load)
+    for worker in pool.workers.values():
+        pool_worker.restart(worker)
+        worker.faults.refuses = False
+    pool.list_workers()
+    pool.load(1, per_s, **load)
+
+
+@behave.then('no task was ordered to start more than {most:d} times')
+def then_ordered(context, most):
+    ordered = collections.Counter()
+    for instance in context.pool.instances.values():
+        ordered.update(instance.workers.task_starts)
+    most_ordered = ordered.most_common(3)
+    assert most_ordered[0][1] <= most, most_ordered
--- a/features/support/pool_faults.py
+++ b/features/support/pool_faults.py
@@ -18,6 +18,8 @@
 # Rates of groups of faults per second, and sizes of these groups.
 FAULT_RATES_PER_S = (0.5, 1, 3)
 FAULT_GROUPS = (1, 1, 2, 4)
+# Capacities for no task, one and two of the tasks in the pool.
+WORKER_CPU = (8000, 16_000, 32_000)
 
 
 def reset_link(world, link):
@@ -71,6 +73,8 @@
             self.late_orders,
             self.lossy_workers,
             self.crash_worker,
+            self.refusing_workers,
+            self.resize_workers,
             self.drain_worker,
             self.slow_worker,
             self.stop_instance,
@@ -328,10 +332,29 @@
         """Slow workers down."""
         return self.set_fault('slowdown', self.duration(1.5, 8))
 
+    def refusing_workers(self):
+        """Refuse connections."""
+        return self.set_fault('refuses', True)
+
+    def resize_workers(self):
+        """Change the capacity of some workers for some time."""
+        workers = self.some_workers()
+        delay_s = self.duration(0.3, 6)
+        for resized in workers:
+            self.resize(resized, self.random.choice(WORKER_CPU))
+            self.later(delay_s, self.resize, resized, max(WORKER_CPU))
+        return [worker.worker_info.worker_id for worker in workers], delay_s
+
+    def resize(self, worker, cpu):
+        """Change the capacity of a worker."""
+        pool_worker.resize(worker, cpu)
+        self.world.list_workers()
+
     def crash_worker(self):
         """Crash a worker, and restart it."""
         worker = self.some_workers()[0]
         worker.crash()
+        worker.faults.refuses = self.random.choice((True, False))
         self.later(self.duration(0.05, 0.5), self.world.list_workers)
         self.later(self.duration(0.6, 3), self.restart_worker, worker)
         return worker.worker_info.worker_id
@@ -339,6 +362,7 @@
     def restart_worker(self, worker):
         """Start a worker again."""
         pool_worker.restart(worker)
+        worker.faults.refuses = False
         self.set_draining(worker, is_draining=False)
 
     def drain_worker(self):
--- a/standins/src/guavaroad_standins/pool_worker.py
+++ b/standins/src/guavaroad_standins/pool_worker.py
@@ -114,6 +114,7 @@
             are not answered.
         unanswered_share: Fraction of the calls that are not answered; orders
             among them are carried out seconds later.
+        refuses: Whether it refuses connections, so that no call arrives.
         clock_rate: Seconds on its clock per second.
     """
 
@@ -122,6 +123,7 @@
     hangs: bool = False
     delay_orders_s: float = 0
     unanswered_share: float = 0
+    refuses: bool = False
     clock_rate: float = 1
 
     def work_s(self, normal_s: float) -> float:
@@ -370,6 +372,7 @@
         reaches: Returns whether a worker is reachable now.
         poll_count: Number of status polls sent.
         starts: Number of start orders sent, by worker.
+        task_starts: Number of start orders sent, by task.
         calls: Number of calls of any kind, by worker.
         run_answer: Runs the callback of an answer, or holds it while the
             instance is frozen.
@@ -387,6 +390,7 @@
         self.reaches = reaches
         self.poll_count = 0
         self.starts: collections.Counter[str] = collections.Counter()
+        self.task_starts: collections.Counter[str] = collections.Counter()
         self.calls: collections.Counter[str] = collections.Counter()
         self.random = random.Random(len(workers))
         self.run_answer: Callable[[Callable[[], object]], None] = _call
@@ -400,6 +404,7 @@
     def start(self, worker_id: Any, order: Any, on_outcome: Any) -> None:
         """Send a start order."""
         self.starts[worker_id] += 1
+        self.task_starts[order.task] += 1
         self.send_order(worker_id, 'start', order, on_outcome)
 
     def stop(self, worker_id: Any, order: Any, on_outcome: Any) -> None:
@@ -432,6 +437,9 @@
         self, sim_worker: SimWorker, execute: Callable[[], Any], answer: '_Once'
     ) -> None:
         """Execute an order on a worker and return its answer."""
+        if sim_worker.faults.refuses:
+            answer(outcomes.Refused(reason=outcomes.Refusal.UNREACHED))
+            return
         if not self.reaches(sim_worker):
             return
         delay_s = self.delay_s(sim_worker)
@@ -465,6 +473,9 @@
         self, sim_worker: SimWorker, poll: pool.StatusPoll, answer: '_Once'
     ) -> None:
         """Deliver a status poll to a worker."""
+        if sim_worker.faults.refuses:
+            answer(outcomes.NoAnswer(detail='connection refused'))
+            return
         if self.random.random() < sim_worker.faults.unanswered_share:
             return
         if self.reaches(sim_worker):
