Do not refuse as not run at an instance that stops what it may have run

A client that sent its job again to an instance that was stopping was answered 503, "instance stops", which promises that nothing ran, while the tasks of its earlier attempt ran, or could still start.

Cause: the check of the time that is left did not ask whether the instance had had the job before. It stood in front of the owner, which knows.

Fix: `PoolInstance.refusal` returns the outcome: unknown (504) if an attempt at the same job is open or had an unknown outcome recently.

Evidence: "An instance that stops does not refuse an attempt as not run after the one before may have started" failed in both examples (client disconnected, client still connected) with "[<HTTPStatus.SERVICE_UNAVAILABLE: 503>]". "An instance that stops refuses a job that it has not had before" passed before and after.

--- a/features/pool/attempts.feature
+++ b/features/pool/attempts.feature
@@ -31,3 +31,27 @@
     Then the last attempt is answered with its result
     And each of its tasks has started once
     And no invariant is violated
+
+  Scenario Outline: An instance that stops does not refuse an attempt as not run after the one before may have started
+    Given a pool of 6 instances in zones "a b c" with 12 workers
+    When 2 s pass in the pool
+    Given a client of an instance other than the allocator
+    When the client posts a job of one task of 900 ms
+    And 0.1 s pass in the pool
+    And <before the next attempt>
+    And the instance stops within 1 s
+    And the client posts the job again
+    Then the request is answered as one of unknown outcome
+
+    Examples:
+      | before the next attempt              |
+      | the connection of the client is lost |
+      | 0.05 s pass in the pool              |
+
+  Scenario: An instance that stops refuses a job that it has not had before
+    Given a pool of 6 instances in zones "a b c" with 12 workers
+    When 2 s pass in the pool
+    Given a client of an instance other than the allocator
+    When the instance stops within 1 s
+    And the client posts a job of one task of 900 ms
+    Then the request is refused as not run
--- a/features/support/pool_clients.py
+++ b/features/support/pool_clients.py
@@ -78,12 +78,12 @@
         """Hand the job in, unless the client has given up."""
         if not self.is_waiting(number):
             return
-        if instance.node.has_time_for(self.job):
+        refusal = instance.node.refusal(self.job)
+        if refusal is None:
             self.open_job = self.world.hand_in(
                 instance.name, self.job, functools.partial(self.accept, number)
             )
             return
-        refusal = open_jobs.NotRun(reason='instance stops')
         attempt = self.world.promises.begin(self.job.job_id, instance.name)
         self.world.promises.answer(attempt, refusal)
         self.accept(number, refusal)
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 from guavaroad.domain import names, units
 from guavaroad.domain.pool import (
@@ -16,6 +16,10 @@
     values,
 )
 
+# Upper bound of a run's time relative to its estimate: estimates are up to
+# 40 % too low, and workers up to 30 % slower.
+MAX_RUN_TIME_FACTOR: Final = 1.8
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TaskRequest:
@@ -70,6 +74,11 @@
     config_version: int = -1
     after: tuple[tuple[int, ...], ...] = ((),)
 
+    def likely_s(self) -> float:
+        """Return within which time the job is likely to end, in seconds."""
+        run_ms = self.estimate_ms * MAX_RUN_TIME_FACTOR
+        return (run_ms + self.objective_ms) / units.MS_PER_S
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Completed:
--- a/packages/guavaroad/src/guavaroad/services/pool/open_attempts.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/open_attempts.py
@@ -83,6 +83,21 @@
         if is_unknown and (job.was_declared or job.may_have_started()):
             self.unknown.record(job.request.job_id, entry=True)
 
+    def outcome_without(
+        self, job_id: values.JobId, reason: str
+    ) -> open_jobs.JobOutcome:
+        """Return the outcome of an attempt that is not admitted.
+
+        The attempts before may have run.
+
+        Args:
+            job_id: Id of the job.
+            reason: Why it is not admitted.
+        """
+        if job_id in self.jobs or self.unknown.find(job_id):
+            return open_jobs.OutcomeUnknown(reason=reason)
+        return open_jobs.NotRun(reason=reason)
+
     def find(
         self, message: messages.ToOwner | agent_messages.LaunchRuns
     ) -> open_jobs.OpenJob | None:
--- a/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
@@ -5,7 +5,6 @@
 
 from twisted.internet import defer
 
-from guavaroad.domain import units
 from guavaroad.domain.pool import (
     election,
     open_jobs,
@@ -36,9 +35,6 @@
 # An instance reports not ready after this time without an allocator, in
 # seconds. A takeover takes less.
 READY_WITHOUT_ALLOCATOR_S: Final = 1.2
-# Upper bound of a run's time relative to its estimate: estimates are up to
-# 40 % too low, and workers up to 30 % slower.
-MAX_RUN_TIME_FACTOR: Final = 1.8
 
 
 class PoolInstance:
@@ -240,15 +236,26 @@
             and without_s < READY_WITHOUT_ALLOCATOR_S
         )
 
-    def has_time_for(self, request: open_jobs.JobRequest) -> bool:
-        """Return whether a job is likely to end before the process does."""
+    def refusal(
+        self, request: open_jobs.JobRequest
+    ) -> open_jobs.JobOutcome | None:
+        """Return the outcome of a job that this instance does not admit.
+
+        A job is admitted if it is likely to end before the process does.
+
+        Args:
+            request: The validated submission.
+
+        Returns:
+            The outcome, or None if the job is admitted.
+        """
         if self.exit_deadline_s is None:
-            return True
-        left_s = self.exit_deadline_s - self.timers.now()
-        likely_ms = (
-            request.estimate_ms * MAX_RUN_TIME_FACTOR + request.objective_ms
+            return None
+        if request.likely_s() < self.exit_deadline_s - self.timers.now():
+            return None
+        return self.job_owner.attempts.outcome_without(
+            request.job_id, 'instance stops'
         )
-        return likely_ms / units.MS_PER_S < left_s
 
     def stop(self, *, exit_deadline_s: float) -> None:
         """Hand over the allocation, and report not ready.
