Remember at the instance which jobs have ended with a result

A client whose connection broke while the result was on its way, and which sent its job again to the same instance, was answered 503 `no_allocator`, "not run", after 42 % of its timeout, if the instance had no allocator then.

Cause: since an instance remembers the jobs of which the outcome was unknown, not those that were complete or had failed. An answer that was sent need not have arrived.

Fix: it remembers every job that was declared or may have started, unless it was answered as not run. With an allocator that has the record the second attempt still gets its result.

Evidence: "An attempt is not refused as not run after the answer to the one before was lost" failed with "[<HTTPStatus.SERVICE_UNAVAILABLE: 503>]".

--- a/features/pool/attempts.feature
+++ b/features/pool/attempts.feature
@@ -55,3 +55,18 @@
     When the instance stops within 1 s
     And the client posts a job of one task of 900 ms
     Then the request is refused as not run
+
+  Scenario: An attempt is not refused as not run after the answer to the one before was lost
+    # The instance had forgotten the job, and no allocator was there to know it.
+    Given a pool of 6 instances in zones "a b c" with 12 workers
+    When 2 s pass in the pool
+    Given a client of an instance other than the allocator
+    When the client posts a job of one task of 900 ms
+    And 2 s pass in the pool
+    Then the request is answered with its result
+    When every other instance is killed
+    And 1 s pass in the pool
+    And its owner is cut off from the store
+    And the client posts the job again
+    And 5 s pass in the pool
+    Then the request is answered as one of unknown outcome
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
@@ -152,8 +152,8 @@
         was_declared: Whether it was declared to any allocator.
         unconfirmed: Whether a lost allocator may have started tasks of it
             without the owner's knowledge.
-        may_have_run_before: Whether the outcome of an earlier attempt at this
-            instance was unknown.
+        may_have_run_before: Whether an earlier attempt at this instance may
+            have run.
         history: Events so far, for the log of a failure.
         timers: Timers to cancel when the job ends.
     """
--- a/packages/guavaroad/src/guavaroad/services/pool/open_attempts.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/open_attempts.py
@@ -14,9 +14,9 @@
 from guavaroad.ports import timers
 from guavaroad.services.pool import decision_log
 
-# Minimum retention of the ids of jobs with an unknown outcome, in seconds.
-# Clients send such jobs again after 1.3 s.
-UNKNOWN_RETENTION_S: Final = 5
+# Minimum retention of the ids of jobs that may have run, in seconds. Clients
+# send jobs without a result again after 1.3 s.
+STARTED_RETENTION_S: Final = 5
 
 
 class OpenAttempts:
@@ -25,8 +25,7 @@
     Attributes:
         jobs: Open jobs by id.
         number: Number of the last attempt.
-        unknown: Jobs whose outcome was unknown recently: a client may send them
-            again.
+        started: Jobs that may have run recently: a client may send them again.
     """
 
     def __init__(
@@ -41,9 +40,9 @@
         self.jobs: dict[values.JobId, open_jobs.OpenJob] = {}
         # An earlier process under this name has used lower numbers.
         self.number = units.to_ms(now_s)
-        self.unknown: generations.Generations[values.JobId, bool] = (
+        self.started: generations.Generations[values.JobId, bool] = (
             generations.Generations(
-                retention_s=UNKNOWN_RETENTION_S, now_s=now_s
+                retention_s=STARTED_RETENTION_S, now_s=now_s
             )
         )
 
@@ -69,19 +68,22 @@
             now_s=now_s,
             on_outcome=on_outcome,
         )
-        self.unknown.expire(now_s)
-        job.may_have_run_before = bool(self.unknown.find(request.job_id))
+        self.started.expire(now_s)
+        job.may_have_run_before = bool(self.started.find(request.job_id))
         self.jobs[request.job_id] = job
         return job
 
     def end(
         self, job: open_jobs.OpenJob, outcome: open_jobs.JobOutcome
     ) -> None:
-        """Remove a job, and record whether its outcome is unknown."""
+        """Remove a job, and record whether it may have run.
+
+        The answer may be lost, also one with a result.
+        """
         self.jobs.pop(job.request.job_id)
-        is_unknown = isinstance(outcome, open_jobs.OutcomeUnknown)
-        if is_unknown and (job.was_declared or job.may_have_started()):
-            self.unknown.record(job.request.job_id, entry=True)
+        is_refused = isinstance(outcome, open_jobs.NotRun)
+        if not is_refused and (job.was_declared or job.may_have_started()):
+            self.started.record(job.request.job_id, entry=True)
 
     def outcome_without(
         self, job_id: values.JobId, reason: str
@@ -94,7 +96,7 @@
             job_id: Id of the job.
             reason: Why it is not admitted.
         """
-        if job_id in self.jobs or self.unknown.find(job_id):
+        if job_id in self.jobs or self.started.find(job_id):
             return open_jobs.OutcomeUnknown(reason=reason)
         return open_jobs.NotRun(reason=reason)
 
