Keep what another owner knows of the starts of a tracked job

An instance could answer a third attempt of a client 503, "not run", although tasks had started under the first one.

Cause: when another instance declared a job that the allocator tracked already, only the owner of the job changed. That the declaration had starts, or was unconfirmed, was lost; the record of how the job was given up then said that nothing had started.

Fix: such a declaration marks the job as one that may have run. It is not marked as started, since that would change its place in the queue.

Evidence: "A job is not refused as not run after another instance has declared a run of it" failed with GivenUp(reason=WITHDRAWN, may_have_started=False).

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -31,3 +31,11 @@
     And worker 1 reports no run
     Then the task is not started
     And an end of the task as done is sent to its owner
+
+  Scenario: A job is not refused as not run after another instance has declared a run of it
+    # The client had sent the job to another instance, which declares it again later.
+    # The record of the end is what a third instance is answered by.
+    Given an allocator with 2 workers and a job of 1 task without a known run
+    When another instance declares the job with a known run on worker 1
+    And the other instance withdraws its job
+    Then the job is given up as one that may have started
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -14,6 +14,7 @@
 JOB = values.JobId('1')
 TASK = values.TaskName('1.0.0.0')
 OWNER = values.InstanceName('owner')
+OTHER = values.InstanceName('other')
 TAKEN_OVER_S = 10
 # Less than the period of the allocator's ticks.
 REPORT_INTERVAL_S = 0.005
@@ -30,10 +31,13 @@
     'an allocator with {workers:d} workers and an unconfirmed job with a known run on worker {number:d}'
 )
 def given_known_run(context, workers, number):
-    task = messages.DeclaredTask(
+    declare(context, workers, known_run(number))
+
+
+def known_run(number):
+    return messages.DeclaredTask(
         name=TASK, cpu=1000, run=1, worker=values.WorkerId(f'w{number}')
     )
-    declare(context, workers, task)
 
 
 @behave.given(
@@ -56,26 +60,41 @@
         ],
         context.now_s,
     )
-    context.machine.job_admission.declare(
-        OWNER,
-        messages.Declare(
-            job=JOB,
-            pool='pool',
-            urgency=0,
-            max_attempts=4,
-            payload='',
-            estimate_ms=900,
-            age_ms=0,
-            objective_ms=600,
-            client_timeout_ms=6000,
-            tasks=(task,),
-            unconfirmed=unconfirmed,
-            redeclared=redeclared,
-        ),
-        context.now_s,
+    declared = declaration(task, unconfirmed=unconfirmed, redeclared=redeclared)
+    context.machine.job_admission.declare(OWNER, declared, context.now_s)
+
+
+def declaration(task, *, unconfirmed, redeclared):
+    return messages.Declare(
+        job=JOB,
+        pool='pool',
+        urgency=0,
+        max_attempts=4,
+        payload='',
+        estimate_ms=900,
+        age_ms=0,
+        objective_ms=600,
+        client_timeout_ms=6000,
+        tasks=(task,),
+        unconfirmed=unconfirmed,
+        redeclared=redeclared,
     )
 
 
+@behave.when(
+    'another instance declares the job with a known run on worker {number:d}'
+)
+def when_declared_elsewhere(context, number):
+    task = known_run(number)
+    declared = declaration(task, unconfirmed=False, redeclared=True)
+    context.machine.job_admission.declare(OTHER, declared, context.now_s)
+
+
+@behave.when('the other instance withdraws its job')
+def when_withdrawn_elsewhere(context):
+    context.machine.job_admission.withdraw(OTHER, messages.Withdraw(job=JOB))
+
+
 def report(context, number, *, running=(), ended=()):
     context.now_s += REPORT_INTERVAL_S
     context.machine.reports.record_report(
--- a/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -130,6 +130,11 @@
         return bool(missed)
 
 
+def shows_start(declared: messages.Declare) -> bool:
+    """Return whether tasks may have started by what the owner knows."""
+    return declared.unconfirmed or any(task.run for task in declared.tasks)
+
+
 def missed_give_up(
     owner: values.InstanceName,
     declared: messages.Declare,
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -68,6 +68,9 @@
         if tracked is not None:
             self.change_owner(tracked, owner)
             tracked.attempt = declared.attempt
+            tracked.may_have_run_before |= earlier_declarations.shows_start(
+                declared
+            )
             self.resend_missed(tracked, declared)
             return
         if self.earlier.resend_ending(owner, declared):
