Do not repeat a start that is on its way to a worker that has restarted

Cause: with the first report of the worker's new process, the allocator ended every run that it had ordered there, also the one whose start was still on its way. The task was placed again, and the new process received both starts. The same holds for a start that the new process has accepted before its first report arrives.

Fix: the restart itself ends no run. The comparison of the same report does: it ends a run that is not listed and that was accepted before the status poll was sent. So a run of the previous process ends with that report, as before. A start without an outcome is kept until it has one; without an answer it is stopped by run number.

Evidence: "A start that is on its way to a worker that has restarted is not repeated" and "A start that a worker has accepted after its restart is not repeated" failed with a second StartRun(worker_id='w0', number=2). "A run that was lost with the process of its worker is started again" and "A start that was refused by a worker that has restarted is repeated" passed before and after.

--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -261,14 +261,19 @@
     def on_restart(
         self, worker_state: worker.Worker, started_ms: int, now_s: float
     ) -> None:
-        """Discard the state of the worker's previous incarnation."""
+        """Discard the state of the worker's previous incarnation.
+
+        Its runs are over, but the new one may have accepted a start already, or
+        may still receive it: `compare` finds out.
+        """
         if worker_state.worker_info.started_ms:
             self.state.log_event(
                 'worker_restarted',
                 worker=worker_state.worker_info.worker_id,
                 runs_lost=len(worker_state.runs),
             )
-            self.runs.expire_leases(worker_state, now_s)
+            worker_state.unclaimed_runs = {}
+            worker_state.is_synced = False
         worker_state.last_end_position = 0
         worker_state.report_clock_ms = -1
         worker_state.incarnation_seen_s = now_s
