--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -14,6 +14,7 @@
 JOB = values.JobId('1')
 TASK = values.TaskName('1.0.0.0')
 OWNER = values.InstanceName('owner')
+OTHER = values.InstanceName('other')
 TAKEN_OVER_S = 10
 # Less than the period of the allocator's ticks.
 REPORT_INTERVAL_S = 0.005
@@ -37,10 +38,13 @@
     'an allocator with {workers:d} workers and an unconfirmed job with known run {run:d} on worker {number:d}'
 )
 def given_known_number(context, workers, run, number):
-    task = messages.DeclaredTask(
+    declare(context, workers, known_run(number, run))
+
+
+def known_run(number, run=values.FIRST_RUN):
+    return messages.DeclaredTask(
         name=TASK, cpu=1000, run=run, worker=values.WorkerId(f'w{number}')
     )
-    declare(context, workers, task)
 
 
 @behave.given(
@@ -63,26 +67,41 @@
         ],
         context.now_s,
     )
-    context.machine.job_admission.declare(
-        OWNER,
-        messages.Declare(
-            job=JOB,
-            pool='pool',
-            urgency=0,
-            max_attempts=4,
-            payload='',
-            estimate_ms=900,
-            age_ms=0,
-            objective_ms=600,
-            client_timeout_ms=6000,
-            tasks=(task,),
-            unconfirmed=unconfirmed,
-            redeclared=redeclared,
-        ),
-        context.now_s,
+    declared = declaration(task, unconfirmed=unconfirmed, redeclared=redeclared)
+    context.machine.job_admission.declare(OWNER, declared, context.now_s)
+
+
+def declaration(task, *, unconfirmed, redeclared):
+    return messages.Declare(
+        job=JOB,
+        pool='pool',
+        urgency=0,
+        max_attempts=4,
+        payload='',
+        estimate_ms=900,
+        age_ms=0,
+        objective_ms=600,
+        client_timeout_ms=6000,
+        tasks=(task,),
+        unconfirmed=unconfirmed,
+        redeclared=redeclared,
     )
 
 
+@behave.when(
+    'another instance declares the job with a known run on worker {number:d}'
+)
+def when_declared_elsewhere(context, number):
+    task = known_run(number)
+    declared = declaration(task, unconfirmed=False, redeclared=True)
+    context.machine.job_admission.declare(OTHER, declared, context.now_s)
+
+
+@behave.when('the other instance withdraws its job')
+def when_withdrawn_elsewhere(context):
+    context.machine.job_admission.withdraw(OTHER, messages.Withdraw(job=JOB))
+
+
 def report(context, number, *, running=(), ended=()):
     context.now_s += REPORT_INTERVAL_S
     context.machine.reports.record_report(
@@ -181,7 +200,7 @@
     for _ in range(allocator.CHECK_PARTS):
         machine.tick(now_s)
     machine.place(now_s)
-    return machine.pop_actions()
+    return tuple(machine.state.pending)
 
 
 def starts_in(decided):
@@ -191,10 +210,9 @@
 
 
 def sent_to_owner(context):
-    decided = getattr(context, 'decisions', [])
     return [
         action.message
-        for action in decided + context.machine.pop_actions()
+        for action in context.machine.state.pending
         if isinstance(action, actions.NotifyOwner)
     ]
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/crash_records.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/crash_records.py
@@ -67,6 +67,10 @@
         """Return the losses under a task."""
         return self.records.find(task) or _NO_LOSSES
 
+    def is_over_limit(self, task: values.TaskName) -> bool:
+        """Return whether a task is to be given up."""
+        return self.find(task).is_over_limit()
+
     def record_silent(
         self, task: values.TaskName, incarnation: Incarnation
     ) -> None:
--- a/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
@@ -29,46 +29,65 @@
 
     def on_lapsed(self, worker_state: worker.Worker, now_s: float) -> None:
         """End every run of a worker whose leases must have lapsed."""
-        incarnation = incarnation_of(worker_state)
+        incarnation = incarnation_of(
+            worker_state, worker_state.worker_info.started_ms
+        )
+        self.drop_reported(worker_state)
         for run in tuple(worker_state.runs.values()):
             self.runs.crashes.record_silent(run.task.name, incarnation)
             worker_state.lapsed_tasks.add(run.task.name)
-        self.end_runs(worker_state, now_s)
+            self.log_lost(worker_state, run)
+            self.runs.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
 
-    def on_restarted(self, worker_state: worker.Worker, now_s: float) -> None:
-        """End every run of a worker that has restarted.
+    def on_restarted(self, worker_state: worker.Worker) -> None:
+        """Record that the worker of runs that have lapsed has crashed.
+
+        Other runs are over, but the new incarnation may have accepted a start
+        already, or may still receive it: its report shows that.
 
         Args:
             worker_state: The worker, still with its previous incarnation.
-            now_s: Current time, in seconds.
         """
-        incarnation = incarnation_of(worker_state)
+        incarnation = incarnation_of(
+            worker_state, worker_state.worker_info.started_ms
+        )
+        self.drop_reported(worker_state)
         lapsed = worker_state.lapsed_tasks
         worker_state.lapsed_tasks = set()
-        for name in lapsed.union(worker_state.runs):
-            self.runs.crashes.record_crash(name, incarnation)
-        self.end_runs(worker_state, now_s)
         for name in lapsed:
+            self.runs.crashes.record_crash(name, incarnation)
             task = self.state.tasks.get(name)
-            if (
-                task is not None
-                and self.runs.crashes.find(name).is_over_limit()
-            ):
+            if task is not None and self.runs.crashes.is_over_limit(name):
                 self.give_up(task)
 
+    def on_missing(
+        self, worker_state: worker.Worker, run: worker.Run, now_s: float
+    ) -> None:
+        """End a run that the report of its worker does not contain.
+
+        It was lost with the worker's previous incarnation, if it was ordered
+        before the present one was observed.
+        """
+        if run.ordered_s < worker_state.incarnation_seen_s:
+            self.runs.crashes.record_crash(
+                run.task.name,
+                incarnation_of(worker_state, worker_state.previous_started_ms),
+            )
+            self.log_lost(worker_state, run)
+        self.runs.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
+
     def on_answered(self, worker_state: worker.Worker) -> None:
         """Clear the tasks of a worker that was cut off, not crashed."""
-        incarnation = incarnation_of(worker_state)
+        incarnation = incarnation_of(
+            worker_state, worker_state.worker_info.started_ms
+        )
         for name in worker_state.lapsed_tasks:
             self.runs.crashes.clear(name, incarnation)
         worker_state.lapsed_tasks = set()
 
-    def end_runs(self, worker_state: worker.Worker, now_s: float) -> None:
-        """End every run of a worker."""
+    def drop_reported(self, worker_state: worker.Worker) -> None:
+        """Discard what a worker has reported about its runs."""
         self.state.runs.drop_unclaimed(worker_state)
-        for run in tuple(worker_state.runs.values()):
-            self.log_lost(worker_state, run)
-            self.runs.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
         worker_state.is_synced = False
 
     def log_lost(self, worker_state: worker.Worker, run: worker.Run) -> None:
@@ -90,9 +109,14 @@
             self.runs.give_up_crashing(task)
 
 
-def incarnation_of(worker_state: worker.Worker) -> crash_records.Incarnation:
-    """Return the present incarnation of a worker."""
-    worker_info = worker_state.worker_info
-    return crash_records.Incarnation(
-        f'{worker_info.worker_id}/{worker_info.started_ms}'
-    )
+def incarnation_of(
+    worker_state: worker.Worker, started_ms: int
+) -> crash_records.Incarnation:
+    """Return an incarnation of a worker.
+
+    Args:
+        worker_state: The worker.
+        started_ms: Start of the incarnation, in milliseconds since 1970.
+    """
+    worker_id = worker_state.worker_info.worker_id
+    return crash_records.Incarnation(f'{worker_id}/{started_ms}')
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -85,6 +85,8 @@
         unclaimed_stop_s: Time at which its unclaimed runs were last stopped.
         unlisted_since_s: Time at which it was first missing from the platform's
             list; None if it is listed.
+        previous_started_ms: Start of the previous incarnation, in milliseconds
+            since 1970; 0 if none is known.
         incarnation_seen_s: Time at which this incarnation was first observed.
     """
 
@@ -109,6 +111,7 @@
     report_clock_ms: int = -1
     unclaimed_stop_s: float = 0
     unlisted_since_s: float | None = None
+    previous_started_ms: int = 0
     incarnation_seen_s: float = 0
 
     def is_from_earlier_incarnation(
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -150,9 +150,7 @@
         ]
         for run in missing:
             if run.state is not values.RunState.UNANSWERED:
-                self.runs.end_run(
-                    worker_state, run, values.EndKind.LAPSED, now_s
-                )
+                self.lost_workers.on_missing(worker_state, run, now_s)
 
     def update_progress(
         self, run: worker.Run, entry: outcomes.ListedRun, now_s: float
@@ -257,14 +255,19 @@
     def on_restart(
         self, worker_state: worker.Worker, started_ms: int, now_s: float
     ) -> None:
-        """Discard the state of the worker's previous incarnation."""
+        """Discard the state of the worker's previous incarnation.
+
+        Its runs are over, but the new one may have accepted a start already, or
+        may still receive it: `compare` finds out.
+        """
         if worker_state.worker_info.started_ms:
             self.state.log_event(
                 'worker_restarted',
                 worker=worker_state.worker_info.worker_id,
                 runs_lost=len(worker_state.runs),
             )
-            self.lost_workers.on_restarted(worker_state, now_s)
+            self.lost_workers.on_restarted(worker_state)
+        worker_state.previous_started_ms = worker_state.worker_info.started_ms
         worker_state.last_end_position = 0
         worker_state.report_clock_ms = -1
         worker_state.incarnation_seen_s = now_s
