Withdraw ended jobs again when the link to the allocator is back

Cause: an owner withdraws a job when its client disconnects or times out, once and only over a link that it has. When the link was reset just before or just after, the allocator kept the job: it keeps all jobs of an owner whose link is back within 0.4 s. Its runs went on, and a task whose start had not been answered started again as soon as it could be stopped.

Evidence: both examples of the new scenario failed before: "ASSERT FAILED: {'': Job(...)}", the job was still open 0.6 s later.

An owner remembers for at least 5 s which jobs had an unknown outcome. It now withdraws those that are not open when it is linked again to an allocator that has kept its jobs.

--- a/features/pool/promises.feature
+++ b/features/pool/promises.feature
@@ -72,3 +72,18 @@
     And 6 s pass in the pool in an overload
     Then the last job is answered
     And no invariant is violated
+
+  Scenario Outline: A job whose client disconnects just <order> its owner's link is reset is withdrawn
+    # The allocator kept the job, and started a task again when the client had
+    # been refused. Seed 13096.
+    When 2 s pass in the pool
+    And a job of 2 tasks of 900 ms is submitted away from the allocator
+    And 0.1 s pass in the pool
+    And its client disconnects just <order> the link of its owner is reset
+    And 0.6 s pass in the pool
+    Then the allocator has no job
+
+    Examples:
+      | order  |
+      | before |
+      | after  |
--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -114,3 +114,23 @@
     context.owner = owner
     pool.clock.advance(HALF_ROUND_TRIP_S)
     reset(owner.node.allocator_follower.link)
+
+
+@behave.when(
+    'its client disconnects just before the link of its owner is reset'
+)
+def when_client_disconnects_before_reset(context):
+    when_client_disconnects(context)
+    reset(context.owner.node.allocator_follower.link)
+
+
+@behave.when('its client disconnects just after the link of its owner is reset')
+def when_client_disconnects_after_reset(context):
+    reset(owner_of_last_job(context).node.allocator_follower.link)
+    when_client_disconnects(context)
+
+
+@behave.then('the allocator has no job')
+def then_no_job(context):
+    machine = context.pool.allocator().node.active_allocator.machine
+    assert not machine.state.jobs, machine.state.jobs
--- a/packages/guavaroad/src/guavaroad/domain/pool/generations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/generations.py
@@ -1,5 +1,6 @@
 """A record whose entries are dropped by age, in two generations."""
 
+from collections.abc import Set as AbstractSet
 from typing import Generic, TypeVar
 
 Key = TypeVar('Key')
@@ -32,6 +33,10 @@
         """Return an entry, or None if there is none or it was dropped."""
         return self.recent.get(key) or self.older.get(key)
 
+    def retained_keys(self) -> AbstractSet[Key]:
+        """Return the keys of the entries."""
+        return self.recent.keys() | self.older.keys()
+
     def covers(self, since_s: float) -> bool:
         """Return whether no entry recorded since a time was dropped.
 
--- a/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
@@ -158,7 +158,7 @@
         has_declared_jobs: bool,
         launches: bool,
     ) -> None:
-        """Declare every open job to an allocator.
+        """Declare every open job to an allocator, and withdraw ended ones.
 
         Args:
             link: Link to the allocator.
@@ -179,6 +179,11 @@
                     'declared_again', job.age_ms(self.timers.now()), state
                 )
             self.declare(job)
+        if is_confirmed:
+            # Their withdrawals may be lost with the previous link.
+            ended = self.unknown.retained_keys() - self.jobs.keys()
+            for job_id in sorted(ended):
+                link.send(messages.Withdraw(job=job_id))
 
     def on_allocator_lost(self) -> None:
         """Mark every job as not declared."""
