Do not refuse a repeated job as not run at an instance that stops

Cause: whether an instance that stops has time for a job was asked before the job was looked up, so the refusal was that of a new job.

Such a job is accepted now, and answered as unknown when the process ends. The simulated pool asks for the time at one place, as the platform's front does, so scenarios without clients pass it as well.

--- a/features/pool/promises.feature
+++ b/features/pool/promises.feature
@@ -87,3 +87,20 @@
       | order  |
       | before |
       | after  |
+
+  Scenario Outline: A second attempt is not refused as not run by an instance that <event> and stops
+    # The instance refused it like a new job.
+    When 2 s pass in the pool
+    And a job of 2 tasks of 900 ms is submitted away from the allocator
+    And 0.1 s pass in the pool
+    And its owner <event>
+    And its owner stops, with 0.3 s left
+    And the client sends the job again to the same instance
+    And 0.5 s pass in the pool
+    Then the last job is answered
+    And no invariant is violated
+
+    Examples:
+      | event                     |
+      | loses the client          |
+      | still waits for the tasks |
--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -134,3 +134,21 @@
 def then_no_job(context):
     machine = context.pool.allocator().node.active_allocator.machine
     assert not machine.state.jobs, machine.state.jobs
+
+
+@behave.when('its owner loses the client')
+def when_owner_loses_client(context):
+    when_client_disconnects(context)
+
+
+@behave.when('its owner still waits for the tasks')
+def when_owner_waits(context):
+    context.owner = owner_of_last_job(context)
+
+
+@behave.when('its owner stops, with {seconds:g} s left')
+def when_owner_stops(context, seconds):
+    pool = context.pool
+    node = context.owner.node
+    node.stop(exit_deadline_s=pool.clock.seconds() + seconds)
+    pool.clock.callLater(seconds, node.job_owner.finish_all, 'instance stops')
--- a/features/support/pool_clients.py
+++ b/features/support/pool_clients.py
@@ -76,17 +76,10 @@
 
     def arrive(self, number, instance):
         """Hand the job in, unless the client has given up."""
-        if not self.is_waiting(number):
-            return
-        if instance.node.has_time_for(self.job):
+        if self.is_waiting(number):
             self.open_job = self.world.hand_in(
                 instance.name, self.job, functools.partial(self.accept, number)
             )
-            return
-        refusal = open_jobs.NotRun(reason='instance stops')
-        attempt = self.world.promises.begin(self.job.job_id, instance.name)
-        self.world.promises.answer(attempt, refusal)
-        self.accept(number, refusal)
 
     def is_waiting(self, number):
         """Return whether the client waits for the answer to a submission."""
--- a/features/support/pool_worlds.py
+++ b/features/support/pool_worlds.py
@@ -370,7 +370,9 @@
         )
 
     def hand_in(self, name, request, accept=_accept):
-        """Submit a request at an instance, and return its open job.
+        """Submit a request at an instance, and return its open job if any.
+
+        An instance that stops may refuse it, as the platform's front does.
 
         Args:
             name: The instance.
@@ -385,7 +387,11 @@
             job_id=request.job_id,
             accept=accept,
         )
-        return client.instance.node.job_owner.submit(request, client.receive)
+        node = client.instance.node
+        if node.has_time_for(request):
+            return node.job_owner.submit(request, client.receive)
+        client.receive(open_jobs.NotRun(reason='instance stops'))
+        return None
 
     def load(self, seconds, per_s, *, names=None, **job):
         """Submit jobs at a constant rate, at each instance in turn."""
--- a/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
@@ -241,8 +241,17 @@
         )
 
     def has_time_for(self, request: open_jobs.JobRequest) -> bool:
-        """Return whether a job is likely to end before the process does."""
-        if self.exit_deadline_s is None:
+        """Return whether a job is likely to end before the process does.
+
+        A job of which an earlier attempt may have run can't be refused as not
+        run, and is accepted in any case.
+        """
+        owner = self.job_owner
+        if (
+            self.exit_deadline_s is None
+            or request.job_id in owner.jobs
+            or owner.unknown.find(request.job_id)
+        ):
             return True
         left_s = self.exit_deadline_s - self.timers.now()
         likely_ms = (
