--- a/features/pool/promises.feature
+++ b/features/pool/promises.feature
@@ -72,3 +72,35 @@
     And 6 s pass in the pool in an overload
     Then the last job is answered
     And no invariant is violated
+
+  Scenario Outline: A job whose client disconnects just <order> its owner's link is reset is withdrawn
+    # The allocator kept the job, and started a task again when the client had
+    # been refused. Seed 13096.
+    When 2 s pass in the pool
+    And a job of 2 tasks of 900 ms is submitted away from the allocator
+    And 0.1 s pass in the pool
+    And its client disconnects just <order> the link of its owner is reset
+    And 0.6 s pass in the pool
+    Then the allocator has no job
+
+    Examples:
+      | order  |
+      | before |
+      | after  |
+
+  Scenario Outline: A second attempt is not refused as not run by an instance that <event> and stops
+    # The instance refused it like a new job.
+    When 2 s pass in the pool
+    And a job of 2 tasks of 900 ms is submitted away from the allocator
+    And 0.1 s pass in the pool
+    And its owner <event>
+    And its owner stops, with 0.3 s left
+    And the client sends the job again to the same instance
+    And 0.5 s pass in the pool
+    Then the last job is answered
+    And no invariant is violated
+
+    Examples:
+      | event                     |
+      | loses the client          |
+      | still waits for the tasks |
--- a/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
@@ -147,7 +147,7 @@
         has_declared_jobs: bool,
         launches: bool,
     ) -> None:
-        """Declare every open job to an allocator.
+        """Declare every open job to an allocator, and withdraw ended ones.
 
         Args:
             link: Link to the allocator.
@@ -168,6 +168,10 @@
                     'declared_again', job.age_ms(self.timers.now()), state
                 )
             self.declare(job)
+        if is_confirmed:
+            # Their withdrawals may be lost with the previous link.
+            for withdrawal in self.attempts.repeated_withdrawals():
+                link.send(withdrawal)
 
     def on_allocator_lost(self) -> None:
         """Mark every job as not declared."""
--- a/packages/guavaroad/src/guavaroad/services/pool/open_attempts.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/open_attempts.py
@@ -26,6 +26,7 @@
         jobs: Open jobs by id.
         number: Number of the last attempt.
         started: Jobs that may have run recently: a client may send them again.
+        abandoned: Last attempts at jobs that the allocator may still have.
     """
 
     def __init__(
@@ -45,6 +46,11 @@
                 retention_s=STARTED_RETENTION_S, now_s=now_s
             )
         )
+        self.abandoned: generations.Generations[
+            values.JobId, values.AttemptNumber
+        ] = generations.Generations(
+            retention_s=STARTED_RETENTION_S, now_s=now_s
+        )
 
     def begin(
         self,
@@ -69,6 +75,7 @@
             on_outcome=on_outcome,
         )
         self.started.expire(now_s)
+        self.abandoned.expire(now_s)
         job.may_have_run_before = bool(self.started.find(request.job_id))
         self.jobs[request.job_id] = job
         return job
@@ -84,6 +91,16 @@
         is_refused = isinstance(outcome, open_jobs.NotRun)
         if not is_refused and (job.was_declared or job.may_have_started()):
             self.started.record(job.request.job_id, entry=True)
+            if isinstance(outcome, open_jobs.OutcomeUnknown):
+                self.abandoned.record(job.request.job_id, job.attempt)
+
+    def repeated_withdrawals(self) -> list[messages.Withdraw]:
+        """Return the withdrawals that may be lost with a link."""
+        return [
+            messages.Withdraw(job=job_id, attempt=attempt)
+            for job_id, attempt in self.abandoned.entries()
+            if job_id not in self.jobs
+        ]
 
     def outcome_without(
         self, job_id: values.JobId, reason: str
