Do not count a refused connection as a worker's answer at its agent

A worker that its agent does not reach gets another agent after three polls without an answer between them. A start that the agent reported as refused without a connection (UNREACHED) counted as an answer of the worker and reset that count, so that a worker behind a broken path kept its agent for as long as tasks were placed there.

The scenario failed before: worker w1 stayed with b-1.

--- a/features/pool/agents.feature
+++ b/features/pool/agents.feature
@@ -49,6 +49,14 @@
     And 1 s pass in the pool
     Then no invariant is violated
 
+  Scenario: A worker whose agent gets no connection to it is called by the next one
+    # Each start that was refused without a connection counted as an answer of the
+    # worker, and reset the count of unanswered polls.
+    When 2 s pass in the pool
+    And 3 polls of worker "w1" get no answer, and each time a start is refused as "unreached"
+    And 1 s pass in the pool
+    Then worker "w1" has another agent
+
   Scenario: An owner that can't reach an agent calls its workers itself
     When 2 s pass in the pool
     And two instances other than the allocator are cut off from each other
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -11,6 +11,7 @@
     peer_messages,
     values,
 )
+from guavaroad.ports import pool as pool_port
 from support import pool_worlds
 
 
@@ -289,3 +290,38 @@
         and sent.sent_s >= context.pool.clock.seconds() - seconds
     ]
     assert not sent, sent
+
+
+@behave.when(
+    '{count:d} polls of worker "{name}" get no answer, and each time a start is refused as "{reason}"'
+)
+def when_refused_between(context, count, name, reason):
+    calls = context.pool.allocator().node.active_allocator.executor.calls
+    assigned = calls.assignments.workers[name]
+    context.agent_before = assigned.agent
+    poll = pool_port.StatusPoll(
+        token=values.Token(1), last_end_position=0, until_ms=None, wait_ms=0
+    )
+    deadline_s = calls.timers.now() + 1
+    for _ in range(count):
+        polled = calls.pending.add(assigned, ignore, deadline_s, poll=poll)
+        started = calls.pending.add(assigned, ignore, deadline_s)
+        calls.receive(
+            agent_messages.CallUnanswered(call=polled.call, detail='refused')
+        )
+        calls.receive(
+            agent_messages.CallAnswered(
+                call=started.call, refusal=reason, clock_ms=-1
+            )
+        )
+
+
+def ignore(_):
+    """Ignore an outcome."""
+
+
+@behave.then('worker "{name}" has another agent')
+def then_moved_agent(context, name):
+    calls = context.pool.allocator().node.active_allocator.executor.calls
+    agent = calls.assignments.workers[name].agent
+    assert agent != context.agent_before, agent
--- a/packages/guavaroad/src/guavaroad/services/pool/agent_calls.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/agent_calls.py
@@ -217,7 +217,7 @@
         pending = self.pending.pop(message.call)
         if pending is None:
             return
-        if not isinstance(message, agent_messages.CallUnanswered):
+        if is_from_worker(message):
             pending.assigned.record_answer()
         elif pending.poll is not None:
             pending.assigned.record_unanswered_poll()
@@ -227,3 +227,16 @@
         """Time out calls, and stop using agents that do not respond."""
         self.update_agents()
         self.pending.fail_overdue(self.timers.now())
+
+
+def is_from_worker(message: agent_messages.FromAgent) -> bool:
+    """Return whether an outcome shows that the agent reaches the worker."""
+    match message:
+        case (
+            agent_messages.CallUnanswered()
+            | agent_messages.CallAnswered(
+                refusal=outcomes.Refusal.UNREACHED.value
+            )
+        ):
+            return False
+    return True
