Place a task whose start was refused on another worker next

A refused start leaves the worker as the tightest fit, so that the task was placed on the same worker again: until that was paused, or for as long as its agent did not respond, while other workers had room.

Among the suitable workers the one that refused the last start comes last now.

--- a/features/pool/refused_starts.feature
+++ b/features/pool/refused_starts.feature
@@ -8,6 +8,12 @@
     Then at most 2 starts were sent to worker 0
     And the task runs on worker 1
 
+  Scenario: A worker that refuses connections is paused while only it has room
+    Given an allocator with 2 free workers and a job of 1 task
+    When worker 0 can't be reached for 0.3 s
+    And a job arrives every 0.04 s for 0.4 s that only fits worker 0
+    Then at most 2 starts were sent to worker 0
+
   Scenario: A task waits out the pause of the only worker
     Given an allocator with 1 free workers and a job of 1 task
     When worker 0 can't be reached for 0.5 s
@@ -38,6 +44,13 @@
     When worker 0 refuses 1 start as "not_sent"
     Then the task runs on worker 0
 
+  Scenario: A task whose start was refused is placed on another worker next
+    # The refused start had left the same gap, so that the same worker was chosen
+    # until it was paused, or for as long as its agent did not respond.
+    Given an allocator with 2 free workers and a job of 1 task
+    When worker 0 refuses 1 start as "not_sent"
+    Then the task runs on worker 1
+
   Scenario: An accepted start ends the pauses of a task
     Given an allocator with 1 free workers and a job of 1 task
     When worker 0 refuses starts as "not_sent" for 1 s
--- a/features/steps/refused_starts_steps.py
+++ b/features/steps/refused_starts_steps.py
@@ -9,6 +9,8 @@
 from support import allocator_scenes
 
 JOB = values.JobId('1')
+# Does not fit a worker that runs a small task.
+LARGE_CPU = 32_000
 
 
 @behave.given(
@@ -26,6 +28,16 @@
     context.scene.run(seconds)
 
 
+@behave.when(
+    'a job arrives every {interval:g} s for {seconds:g} s that only fits worker 0'
+)
+def when_jobs_arrive(context, interval, seconds):
+    scene = context.scene
+    for number in range(int(seconds / interval + 0.5)):
+        scene.declare(values.JobId(f'more-{number}'), 1, LARGE_CPU)
+        scene.run(interval)
+
+
 @behave.when('worker {number:d} can be reached for {seconds:g} s')
 def when_reached(context, number, seconds):
     context.scene.refusals.pop(allocator_scenes.worker_id_of(number))
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -5,8 +5,9 @@
 so that the cost of a choice does not grow with their number.
 """
 
+import functools
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 import sortedcontainers
@@ -86,7 +87,7 @@
         )
         if task.constraint == constraints.ANYWHERE:
             candidates = itertools.islice(usable, MAX_CANDIDATES)
-            return min(candidates, key=_run_time_ratio, default=None)
+            return _best(candidates, task)
         return self.choose_constrained(task, usable)
 
     def choose_constrained(
@@ -110,7 +111,7 @@
             for worker_state in allowed
             if constraint.is_near(worker_state.worker_info.labels)
         ]
-        return min(near or allowed, key=_run_time_ratio, default=None)
+        return _best(near or allowed, task)
 
     def could_run(self, task: work.Task) -> bool:
         """Return whether any worker has the size and label for a task."""
@@ -176,5 +177,16 @@
     return same_step < most
 
 
-def _run_time_ratio(worker_state: worker.Worker) -> float:
-    return worker_state.health.run_time_ratio
+def _best(
+    candidates: Iterable[worker.Worker], task: work.Task
+) -> worker.Worker | None:
+    return min(
+        candidates, key=functools.partial(_preference, task), default=None
+    )
+
+
+def _preference(
+    task: work.Task, worker_state: worker.Worker
+) -> tuple[bool, float]:
+    has_refused = worker_state.worker_info.worker_id == task.refused_by
+    return has_refused, worker_state.health.run_time_ratio
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -86,6 +86,7 @@
                 if outcome.clock_ms >= 0:
                     worker_state.lease.read_clock(outcome.clock_ms, now_s)
                 run.task.start_pause_s = 0
+                run.task.refused_by = None
                 if run.state is values.RunState.ORDERED:
                     run.state = values.RunState.RUNNING
                     run.reportable_s = now_s
@@ -123,6 +124,7 @@
         if reason is outcomes.Refusal.MALFORMED:
             self.give_up(task.job, values.GiveUpReason.ATTEMPTS_USED)
             return
+        task.refused_by = worker_state.worker_info.worker_id
         self.refused_starts.add(task, now_s)
 
     def on_start_unanswered(
--- a/packages/guavaroad/src/guavaroad/domain/pool/work.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/work.py
@@ -24,6 +24,7 @@
         constraint: Placement constraint.
         start_pause_s: Pause before it is queued again if its next start is
             refused, in seconds.
+        refused_by: Worker of its last start, if that was refused.
     """
 
     job: 'Job'
@@ -38,6 +39,7 @@
     estimate_s: float = 0
     constraint: constraints.Constraint = constraints.ANYWHERE
     start_pause_s: float = 0
+    refused_by: values.WorkerId | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
