Keep a run that a restarted worker may have accepted

A worker crashed and restarted under its id between two polls, and its new process accepted two starts. 130 ms later the platform's list showed the restart; the allocator took every run there for one of the old process, and started the tasks elsewhere.

At a restart only runs that were accepted before the last answered poll was sent end at once: that poll was answered by the old process. The others are kept until the next report shows whether they are in progress, or their lease lapses; the worker gets no new task until that report. "A run that a restarted worker has accepted is not started again" failed before for a restart that the list shows: starts on w0 and w1.

--- /dev/null
+++ b/features/steps/restart_steps.py
@@ -0,0 +1,72 @@
+"""Steps for workers that restart under their id."""
+
+import dataclasses
+
+import behave
+
+from support import allocator_scenes
+
+MOMENT_S = 0.02
+INCARNATION_MS = 1000
+
+
+def restart(context, job_id):
+    scene = context.scene
+    context.restarted = next(
+        number
+        for number, _ in enumerate(scene.infos)
+        for run in scene.worker(number).runs.values()
+        if run.task.job.job_id == job_id
+    )
+    worker_info = scene.infos[context.restarted]
+    scene.infos[context.restarted] = dataclasses.replace(
+        worker_info, started_ms=worker_info.started_ms + INCARNATION_MS
+    )
+
+
+@behave.given('every worker has reported its runs')
+def given_reported(context):
+    scene = context.scene
+    scene.now_s += MOMENT_S
+    scene.report_reached()
+
+
+@behave.when(
+    'the worker of job "{name}" has restarted by its report, which has the run'
+)
+def when_seen_in_report(context, name):
+    restart(context, name)
+    context.scene.report(allocator_scenes.worker_id_of(context.restarted))
+
+
+@behave.when('the worker of job "{name}" has restarted by the platform\'s list')
+def when_seen_in_list(context, name):
+    restart(context, name)
+    scene = context.scene
+    scene.machine.update_workers(scene.infos, scene.now_s)
+
+
+@behave.when('that worker reports no run')
+def when_reports_none(context):
+    scene = context.scene
+    runs = scene.worker(context.restarted).runs
+    scene.unstarted.update(runs)
+    scene.now_s += MOMENT_S
+    scene.report(allocator_scenes.worker_id_of(context.restarted))
+    scene.unstarted.clear()
+
+
+@behave.then('job "{name}" was started once')
+def then_once(context, name):
+    check_starts(context, 1)
+
+
+@behave.then('job "{name}" was started twice')
+def then_twice(context, name):
+    check_starts(context, 2)
+
+
+def check_starts(context, count):
+    scene = context.scene
+    scene.answer_starts()
+    assert len(scene.starts) == count, scene.starts
--- a/features/support/allocator_scenes.py
+++ b/features/support/allocator_scenes.py
@@ -59,7 +59,7 @@
             worker_id=worker_id,
             report=outcomes.RunReport(
                 clock_ms=int(self.now_s * 1000),
-                started_ms=worker_state.worker_info.started_ms,
+                started_ms=self.started_ms(worker_id),
                 running=tuple(
                     outcomes.ListedRun(task=name, number=run.number)
                     for name, run in worker_state.runs.items()
@@ -73,6 +73,14 @@
             now_s=self.now_s,
         )
 
+    def started_ms(self, worker_id):
+        """Return the start of a worker's present process."""
+        return next(
+            worker_info.started_ms
+            for worker_info in self.infos
+            if worker_info.worker_id == worker_id
+        )
+
     def resize(self, number, cpu):
         """List a worker with another capacity."""
         worker_info = self.infos[number]
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -34,6 +34,7 @@
 # Lower bound of an estimate, in seconds. Estimates are rough, and a shorter one
 # would make every run look slow.
 MIN_ESTIMATE_S: Final = 0.02
+_ANY_TIME_S: Final = float('inf')
 
 
 # Refusals that show nothing about the worker that was to run the task.
@@ -309,10 +310,24 @@
             if worker_state is not None and run is not None:
                 self.stop(worker_state, run)
 
-    def expire_leases(self, worker_state: worker.Worker, now_s: float) -> None:
-        """End every run of a worker whose leases must have lapsed."""
+    def expire_leases(
+        self,
+        worker_state: worker.Worker,
+        now_s: float,
+        *,
+        accepted_by_s: float = _ANY_TIME_S,
+    ) -> None:
+        """End the runs of a worker whose leases must have lapsed.
+
+        Args:
+            worker_state: The worker.
+            now_s: Current time, in seconds.
+            accepted_by_s: Runs that were accepted later are kept until a report
+                shows whether they are in progress, in seconds.
+        """
         for run in tuple(worker_state.runs.values()):
-            self.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
+            if run.reportable_s <= accepted_by_s:
+                self.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
         worker_state.unclaimed_runs = {}
         worker_state.is_synced = False
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -246,7 +246,10 @@
                 worker=worker_state.worker_info.worker_id,
                 runs_lost=len(worker_state.runs),
             )
-            self.runs.expire_leases(worker_state, now_s)
+            # The new process may have accepted starts since the last poll.
+            self.runs.expire_leases(
+                worker_state, now_s, accepted_by_s=worker_state.last_poll_s
+            )
         worker_state.last_end_position = 0
         worker_state.report_clock_ms = -1
         worker_state.incarnation_seen_s = now_s
