Share no worker list that is read as the allocator stops

A read of the worker list that returned after the allocator had stopped was sent to its followers, whose links were closed. Callers saw nothing, as the allocator had nothing left to do.

Nothing is shared over closed links, as for the directory. The scenario failed before with KeyError: 'b-1'.

--- a/features/pool/takeover.feature
+++ b/features/pool/takeover.feature
@@ -261,3 +261,11 @@
     And zone "b" is cut off
     And 2 s pass in the pool
     Then every instance in zone "b" follows an allocator
+
+  Scenario: A worker list that is read while the allocator stops is not shared
+    # It was sent to the followers whose links had just been closed, which gave an
+    # unhandled KeyError. Random seed 17.
+    When 2 s pass in the pool
+    And a changed worker list reaches the allocator just after it has stopped
+    And 2 s pass in the pool
+    Then exactly 1 instance allocates
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -4,10 +4,13 @@
 
 import behave
 
+from guavaroad.ports import pool
+from guavaroad_standins import pool_worker
 from support import allocator_scenes
 
 MOMENT_S = 0.02
 INCARNATION_MS = 1000
+SMALL_CPU = 16_000
 
 
 def restart(context, job_id):
@@ -66,6 +69,20 @@
     check_starts(context, 2)
 
 
+@behave.when(
+    'a changed worker list reaches the allocator just after it has stopped'
+)
+def when_list_late(context):
+    world = context.pool
+    node = world.allocator().node
+    reader = node.active_allocator.store_reader
+    rows = node.active_allocator.executor.broadcaster.rows
+    pool_worker.resize(next(iter(world.workers.values())), SMALL_CPU)
+    world.list_workers()
+    node.stop_allocating(retiring=True)
+    reader.apply_worker_rows(pool.WorkerRows(rows=tuple(rows.items())))
+
+
 def check_starts(context, count):
     scene = context.scene
     scene.answer_starts()
--- a/packages/guavaroad/src/guavaroad/services/pool/state_broadcaster.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/state_broadcaster.py
@@ -145,6 +145,8 @@
             rows: The rows. Their text changes with each heartbeat of a worker.
             listed: The decoded rows; only changes of these are sent.
         """
+        if self.links.closed:
+            return
         known = self.worker_infos
         self.rows = dict(rows.rows)
         self.worker_infos = {
