--- /dev/null
+++ b/features/steps/restarted_worker_steps.py
@@ -0,0 +1,89 @@
+"""Steps for workers that restart under their id."""
+
+import dataclasses
+
+import behave
+
+from guavaroad.ports import pool
+from guavaroad_standins import pool_worker
+from support import allocator_scenes
+
+MOMENT_S = 0.02
+INCARNATION_MS = 1000
+SMALL_CPU = 16_000
+
+
+def restart(context, job_id):
+    scene = context.scene
+    context.restarted = next(
+        number
+        for number, _ in enumerate(scene.infos)
+        for run in scene.worker(number).runs.values()
+        if run.task.job.job_id == job_id
+    )
+    worker_info = scene.infos[context.restarted]
+    scene.infos[context.restarted] = dataclasses.replace(
+        worker_info, started_ms=worker_info.started_ms + INCARNATION_MS
+    )
+
+
+@behave.given('every worker has reported its runs')
+def given_reported(context):
+    scene = context.scene
+    scene.now_s += MOMENT_S
+    scene.report_reached()
+
+
+@behave.when(
+    'the worker of job "{name}" has restarted by its report, which has the run'
+)
+def when_seen_in_report(context, name):
+    restart(context, name)
+    context.scene.report(allocator_scenes.worker_id_of(context.restarted))
+
+
+@behave.when('the worker of job "{name}" has restarted by the platform\'s list')
+def when_seen_in_list(context, name):
+    restart(context, name)
+    scene = context.scene
+    scene.machine.update_workers(scene.infos, scene.now_s)
+
+
+@behave.when('that worker reports no run')
+def when_reports_none(context):
+    scene = context.scene
+    runs = scene.worker(context.restarted).runs
+    scene.unstarted.update(runs)
+    scene.now_s += MOMENT_S
+    scene.report(allocator_scenes.worker_id_of(context.restarted))
+    scene.unstarted.clear()
+
+
+@behave.then('job "{name}" was started once')
+def then_once(context, name):
+    check_starts(context, 1)
+
+
+@behave.then('job "{name}" was started twice')
+def then_twice(context, name):
+    check_starts(context, 2)
+
+
+@behave.when(
+    'a changed worker list reaches the allocator just after it has stopped'
+)
+def when_list_late(context):
+    world = context.pool
+    node = world.allocator().node
+    reader = node.active_allocator.store_reader
+    rows = node.active_allocator.executor.broadcaster.rows
+    pool_worker.resize(next(iter(world.workers.values())), SMALL_CPU)
+    world.list_workers()
+    node.stop_allocating(retiring=True)
+    reader.apply_worker_rows(pool.WorkerRows(rows=tuple(rows.items())))
+
+
+def check_starts(context, count):
+    scene = context.scene
+    scene.answer_starts()
+    assert len(scene.starts) == count, scene.starts
--- a/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
@@ -39,19 +39,24 @@
             self.log_lost(worker_state, run)
             self.runs.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
 
-    def on_restarted(self, worker_state: worker.Worker) -> None:
-        """Record that the worker of runs that have lapsed has crashed.
+    def on_restarted(self, worker_state: worker.Worker, now_s: float) -> None:
+        """End the runs that were lost with the previous incarnation.
 
-        Other runs are over, but the new incarnation may have accepted a start
-        already, or may still receive it: its report shows that.
+        The present one may have accepted a start already, or may still receive
+        it: those that were not accepted before the last answered poll are kept
+        until its report.
 
         Args:
             worker_state: The worker, still with its previous incarnation.
+            now_s: Current time, in seconds.
         """
         incarnation = incarnation_of(
             worker_state, worker_state.worker_info.started_ms
         )
         self.drop_reported(worker_state)
+        for run in tuple(worker_state.runs.values()):
+            if run.reportable_s <= worker_state.last_poll_s:
+                self.end_lost(worker_state, run, incarnation, now_s)
         lapsed = worker_state.lapsed_tasks
         worker_state.lapsed_tasks = set()
         for name in lapsed:
@@ -69,11 +74,23 @@
         before the present one was observed.
         """
         if run.ordered_s < worker_state.incarnation_seen_s:
-            self.runs.crashes.record_crash(
-                run.task.name,
-                incarnation_of(worker_state, worker_state.previous_started_ms),
+            incarnation = incarnation_of(
+                worker_state, worker_state.previous_started_ms
             )
-            self.log_lost(worker_state, run)
+            self.end_lost(worker_state, run, incarnation, now_s)
+        else:
+            self.runs.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
+
+    def end_lost(
+        self,
+        worker_state: worker.Worker,
+        run: worker.Run,
+        incarnation: crash_records.Incarnation,
+        now_s: float,
+    ) -> None:
+        """End a run that was lost when its worker crashed."""
+        self.runs.crashes.record_crash(run.task.name, incarnation)
+        self.log_lost(worker_state, run)
         self.runs.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
 
     def on_answered(self, worker_state: worker.Worker) -> None:
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -35,6 +35,7 @@
 # Lower bound of an estimate, in seconds. Estimates are rough, and a shorter one
 # would make every run look slow.
 MIN_ESTIMATE_S: Final = 0.02
+_ANY_TIME_S: Final = float('inf')
 
 
 # Refusals that show nothing about the worker that was to run the task.
@@ -89,6 +90,7 @@
                 if outcome.clock_ms >= 0:
                     worker_state.lease.read_clock(outcome.clock_ms, now_s)
                 run.task.start_pause_s = 0
+                run.task.refused_by = None
                 if run.state is values.RunState.ORDERED:
                     run.state = values.RunState.RUNNING
                     run.reportable_s = now_s
@@ -126,6 +128,7 @@
         if reason is outcomes.Refusal.MALFORMED:
             self.give_up(task.job, values.GiveUpReason.ATTEMPTS_USED)
             return
+        task.refused_by = worker_state.worker_info.worker_id
         self.refused_starts.add(task, now_s)
 
     def on_start_unanswered(
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -258,7 +258,7 @@
         """Discard the state of the worker's previous incarnation.
 
         Its runs are over, but the new one may have accepted a start already, or
-        may still receive it: `compare` finds out.
+        may still receive it: the comparison with its report finds out.
         """
         if worker_state.worker_info.started_ms:
             self.state.log_event(
@@ -266,7 +266,7 @@
                 worker=worker_state.worker_info.worker_id,
                 runs_lost=len(worker_state.runs),
             )
-            self.lost_workers.on_restarted(worker_state)
+            self.lost_workers.on_restarted(worker_state, now_s)
         worker_state.previous_started_ms = worker_state.worker_info.started_ms
         worker_state.last_end_position = 0
         worker_state.report_clock_ms = -1
