--- a/packages/guavaroad/src/guavaroad/services/pool/open_attempts.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/open_attempts.py
@@ -87,7 +87,7 @@
 
     def outcome_without(
         self, job_id: values.JobId, reason: str
-    ) -> open_jobs.JobOutcome:
+    ) -> open_jobs.NotRun | open_jobs.OutcomeUnknown:
         """Return the outcome of an attempt that is not admitted.
 
         The attempts before may have run.
--- a/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
@@ -238,7 +238,7 @@
 
     def refusal(
         self, request: open_jobs.JobRequest
-    ) -> open_jobs.JobOutcome | None:
+    ) -> open_jobs.NotRun | open_jobs.OutcomeUnknown | None:
         """Return the outcome of a job that this instance does not admit.
 
         A job is admitted if it is likely to end before the process does.
