Pause before the next poll of a worker that does not wait

A poll waits at the worker until a run ends, and the next one is sent when it is answered. A worker that answers at once, against the protocol, was polled without a pause.

After an answer within 30 ms without an end the next poll is sent 30 ms later.

--- a/features/pool/workers.feature
+++ b/features/pool/workers.feature
@@ -91,3 +91,13 @@
     When 2 s pass in the pool
     And worker "w1" is cut off under load for 2 s
     Then at most 8 orders are sent to worker "w1"
+
+  Scenario: A worker that answers every poll at once is polled with a pause
+    # Each answer was followed by the next poll in the same instant.
+    When 2 s pass in the pool
+    And worker "w1" answers every poll at once for 1 s
+    Then at most 45 polls are sent to worker "w1" in that time
+    When 30 jobs per second of 2 tasks of 100 ms are submitted for 2 s
+    And 1 s pass in the pool
+    Then every job is complete
+    And no invariant is violated
--- a/packages/guavaroad/src/guavaroad/services/pool/status_poller.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/status_poller.py
@@ -19,6 +19,10 @@
 # Interval between polls of a worker that reports unclaimed runs, in seconds.
 # Such polls do not wait at the worker, and a stop takes about 50 ms.
 UNCLAIMED_RUNS_INTERVAL_S: Final = 0.05
+# Interval after a poll that a worker has answered at once without an end,
+# although it had to wait for one, in seconds. Polls would follow each other
+# without a pause otherwise.
+EARLY_ANSWER_INTERVAL_S: Final = 0.03
 # Range of the delay after a failed poll, in seconds. Polls that failed at once,
 # as those across a partition do, are spread, so that one of them soon shows
 # that the path works again.
@@ -36,12 +40,15 @@
         is_reset: Whether the next poll is the first of a sequence. It
             acknowledges no ends, as the worker may have restarted.
         stopped: Whether the worker is no longer polled.
+        waits: Whether the worker waits for an end before it answers the last
+            poll.
     """
 
     worker_id: values.WorkerId
     sequence: int = 0
     is_reset: bool = True
     stopped: bool = False
+    waits: bool = False
 
 
 class StatusPoller:
@@ -97,6 +104,7 @@
             until_ms=worker.lease.extend(sent_s) if extends else None,
             wait_ms=POLL_WAIT_MS if extends else 0,
         )
+        poll_state.waits = extends
         poll_state.sequence += 1
         self.workers.poll_status(
             poll_state.worker_id,
@@ -190,7 +198,9 @@
             case outcomes.RunReport():
                 poll_state.is_reset = False
                 self.record_report(poll_state, sent_s, outcome)
-                self.schedule_next(poll_state)
+                is_early = poll_state.waits and not outcome.ended
+                is_early &= self.timers.now() - sent_s < EARLY_ANSWER_INTERVAL_S
+                self.schedule_next(poll_state, is_early=is_early)
             case outcomes.Refused(reason=outcomes.Refusal.FENCED):
                 self.on_fenced()
             case outcomes.NoAnswer(is_agent_lost=True):
@@ -199,13 +209,19 @@
             case _:
                 self.record_failure(poll_state, outcome)
 
-    def schedule_next(self, poll_state: PollState) -> None:
-        """Poll again, after a delay if the worker has unclaimed runs."""
+    def schedule_next(self, poll_state: PollState, *, is_early: bool) -> None:
+        """Poll again, after a delay if the worker would answer at once.
+
+        Args:
+            poll_state: State of the polls of the worker.
+            is_early: Whether it has answered at once although it had to wait.
+        """
         worker = self.machine.state.workers.get(poll_state.worker_id)
+        delay_s = EARLY_ANSWER_INTERVAL_S if is_early else 0
         if worker is not None and worker.unclaimed_runs:
-            self.timers.call_after(
-                UNCLAIMED_RUNS_INTERVAL_S, lambda: self.send_poll(poll_state)
-            )
+            delay_s = UNCLAIMED_RUNS_INTERVAL_S
+        if delay_s:
+            self.timers.call_after(delay_s, lambda: self.send_poll(poll_state))
         else:
             self.send_poll(poll_state)
 
--- a/standins/src/guavaroad_standins/pool_worker.py
+++ b/standins/src/guavaroad_standins/pool_worker.py
@@ -115,6 +115,7 @@
         unanswered_share: Fraction of the calls that are not answered; orders
             among them are carried out seconds later.
         refuses: Whether it refuses connections, so that no call arrives.
+        answers_at_once: Whether it does not wait before it answers polls.
         clock_rate: Seconds on its clock per second.
     """
 
@@ -124,6 +125,7 @@
     delay_orders_s: float = 0
     unanswered_share: float = 0
     refuses: bool = False
+    answers_at_once: bool = False
     clock_rate: float = 1
 
     def work_s(self, normal_s: float) -> float:
@@ -288,7 +290,8 @@
         self.ended = [
             end for end in self.ended if end.position > poll.last_end_position
         ]
-        if self.ended or not poll.wait_ms:
+        is_waiting = poll.wait_ms and not self.faults.answers_at_once
+        if self.ended or not is_waiting:
             answer(self.report())
             return
         self.wait(poll.wait_ms / units.MS_PER_S, answer)
