Pause before the next read of a store that does not wait

Each instance waits at the store for a change of the configuration, and asks again when it is answered. A store that answers at once without a change was read without a pause.

Such an answer within 50 ms is followed by the delay of a failed read, 0.2 s.

--- a/features/pool/takeover.feature
+++ b/features/pool/takeover.feature
@@ -269,3 +269,9 @@
     And a changed worker list reaches the allocator just after it has stopped
     And 2 s pass in the pool
     Then exactly 1 instance allocates
+
+  Scenario: A store that answers the wait for a configuration at once is read with a pause
+    # Each answer was followed by the next read in the same instant.
+    When 2 s pass in the pool
+    And the store answers an instance at once without a change for 2 s
+    Then the instance reads the configuration at most 15 times in that time
--- a/packages/guavaroad/src/guavaroad/services/pool/configuration_watch.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/configuration_watch.py
@@ -14,6 +14,9 @@
 
 # Delay after a failed read, in seconds.
 RETRY_DELAY_S: Final = 0.2
+# Least time for which the store waits for a change, in seconds. Reads that it
+# answers sooner without a change are delayed like failed ones.
+MIN_WAIT_S: Final = 0.05
 
 
 class ConfigurationWatch:
@@ -88,8 +91,13 @@
         """Read changes from the store until the process ends."""
         position: int | None = None
         while True:
+            began_s = self.timers.now()
             change = await self.cluster.config(position)
+            before = position
             position = await self.process(change)
+            elapsed_s = self.timers.now() - began_s
+            if position == before and elapsed_s < MIN_WAIT_S:
+                await self.retry_delay()
 
     async def process(
         self, change: pool.ConfigText | platform.Away
