End only the runs that a restarted worker is known to have lost

Cause: when a worker restarted, the allocator ended every run on it. A stop that the previous incarnation had accepted was not sent to the next one.

A run ends with the restart only if a report from before could show it. The others follow their usual course: the outcome of the start or the next report decides, an unanswered start is stopped at the new incarnation, and a stop that was accepted is sent again.

--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -218,14 +218,16 @@
     def on_restart(
         self, worker_state: worker.Worker, started_ms: int, now_s: float
     ) -> None:
-        """Discard the state of the worker's previous incarnation."""
+        """Discard the state of the worker's previous incarnation.
+
+        Args:
+            worker_state: Worker that has restarted.
+            started_ms: Start of its new incarnation, in milliseconds since
+                1970.
+            now_s: Current time, in seconds.
+        """
         if worker_state.worker_info.started_ms:
-            self.state.log_event(
-                'worker_restarted',
-                worker=worker_state.worker_info.worker_id,
-                runs_lost=len(worker_state.runs),
-            )
-            self.runs.expire_leases(worker_state, now_s)
+            self.end_lost_runs(worker_state, now_s)
         worker_state.last_end_position = 0
         worker_state.report_clock_ms = -1
         worker_state.incarnation_seen_s = now_s
@@ -233,3 +235,31 @@
         worker_state.worker_info = dataclasses.replace(
             worker_state.worker_info, started_ms=started_ms
         )
+
+    def end_lost_runs(self, worker_state: worker.Worker, now_s: float) -> None:
+        """End the runs that a worker's previous incarnation has reported.
+
+        The next one may have received a start that no report shows yet, or may
+        receive it later. It does not know of a stop that the previous one has
+        accepted.
+        """
+        self.state.runs.drop_unclaimed(worker_state)
+        worker_state.is_synced = False
+        lost = [
+            run
+            for run in worker_state.runs.values()
+            if run.state is values.RunState.RUNNING
+            and run.reportable_s < worker_state.last_poll_s
+        ]
+        self.state.log_event(
+            'worker_restarted',
+            worker=worker_state.worker_info.worker_id,
+            runs_lost=len(lost),
+            runs_open=len(worker_state.runs) - len(lost),
+        )
+        for run in lost:
+            self.runs.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
+        for run in worker_state.runs.values():
+            if run.state is values.RunState.STOPPING:
+                run.state = values.RunState.UNANSWERED
+                self.runs.stop(worker_state, run)
