--- a/features/pool/random_faults.feature
+++ b/features/pool/random_faults.feature
@@ -9,6 +9,9 @@
   Scenario: No refused job starts while agents call the workers
     Then 2 runs of 5 s with random faults and worker agents from seed 1 start no refused job
 
+  Scenario: No refused job starts while messages are late in one direction
+    Then 2 runs of 5 s with random faults, worker agents and delayed messages from seed 1 start no refused job
+
   Scenario: A job that is sent again before its withdrawal is answered is not refused and started
     # The answer to the withdrawal of the earlier attempt was taken as that to the
     # present one, which the allocator started.
--- a/features/steps/random_faults_steps.py
+++ b/features/steps/random_faults_steps.py
@@ -26,6 +26,17 @@
         check_run(number, run, seconds)
 
 
+@behave.then(
+    '{count:d} runs of {seconds:g} s with random faults, worker agents and delayed messages from seed {seed:d} start no refused job'
+)
+def then_random_path_faults(context, count, seconds, seed):
+    for number in range(seed, seed + count):
+        run = pool_faults.FaultRun(
+            seed=number, link_bytes_per_s=200_000, has_path_faults=True
+        )
+        check_run(number, run, seconds)
+
+
 def check_run(number, run, seconds):
     run.run(seconds)
     found = {
--- a/features/support/pool_faults.py
+++ b/features/support/pool_faults.py
@@ -4,7 +4,7 @@
 import random
 
 from guavaroad_standins import pool_cluster, pool_worker
-from support import pool_clients, pool_worlds
+from support import path_faults, pool_clients, pool_worlds
 
 SETUP_S = 2
 # Time without faults at the end, in seconds: all clients have their answer, and
@@ -370,7 +370,9 @@
         faults: The faults.
     """
 
-    def __init__(self, *, seed, habits=None, instances=6, **world):
+    def __init__(
+        self, *, seed, habits=None, instances=6, has_path_faults=False, **world
+    ):
         self.random = random.Random(seed)
         self.world = pool_worlds.PoolWorld(
             zones=['a', 'b', 'c'],
@@ -383,6 +385,9 @@
             world=self.world, habits=habits or pool_clients.ClientHabits()
         )
         self.faults = PoolFaults(world=self.world, traffic=self.traffic)
+        if has_path_faults:
+            paths = path_faults.PathFaults(faults=self.faults)
+            self.faults.kinds += paths.kinds
 
     def run(self, seconds):
         """Run with faults for some time, and then without."""
--- a/standins/src/guavaroad_standins/pool_cluster.py
+++ b/standins/src/guavaroad_standins/pool_cluster.py
@@ -207,6 +207,7 @@
         latency_s: Time that a message takes, in seconds.
         links: Both ends of every link that was opened.
         held: Deliveries to instances that receive nothing for now.
+        held_paths: Deliveries that are held back, by sender and receiver.
         messages: Messages sent.
         shared_config_count: Number of configurations sent.
     """
@@ -219,6 +220,7 @@
         self.latency_s = LINK_LATENCY_S
         self.links: list[MemoryLink] = []
         self.held: dict[str, list[Delivery]] = {}
+        self.held_paths: dict[tuple[str, str], list[Delivery]] = {}
         self.messages: list[SentMessage] = []
         self.shared_config_count = 0
 
@@ -235,6 +237,12 @@
         self, sender: str, receiver: str, action: Callable[[], object]
     ) -> None:
         """Run a delivery unless the receiver is unreachable or stopped."""
+        delayed = self.held_paths.get((sender, receiver))
+        if delayed is not None:
+            delayed.append(
+                functools.partial(self.arrive, sender, receiver, action)
+            )
+            return
         if self.is_cut(sender, receiver) or receiver in self.dead:
             return
         held = self.held.get(receiver)
@@ -263,6 +271,15 @@
         for action in self.held.pop(receiver):
             action()
 
+    def hold_path(self, path: tuple[str, str]) -> None:
+        """Hold back what one instance sends to another."""
+        self.held_paths[path] = []
+
+    def release_path(self, path: tuple[str, str]) -> None:
+        """Deliver what was held back on a path, in order."""
+        for action in self.held_paths.pop(path):
+            action()
+
     def reset_links(self, name: str) -> None:
         """Report the loss of every link of an instance to its other end."""
         for link in self.links:
