Ignore a worker list that is read after the allocation has ended

Cause: an allocator that stops closes its links, and a read of the worker list that is in progress was still applied and sent over them. Nothing else was lost with the error, as that allocator decides nothing any more.

Evidence: the new scenario failed before with "ASSERT FAILED: ["'a-3'"]", the name of the instance whose link was gone.

--- a/features/pool/takeover.feature
+++ b/features/pool/takeover.feature
@@ -261,3 +261,9 @@
     And zone "b" is cut off
     And 2 s pass in the pool
     Then every instance in zone "b" follows an allocator
+
+  Scenario: An allocator that stops while it reads the worker list raises no error
+    # It sent the changed list over links that it had closed.
+    When 2 s pass in the pool
+    And a worker begins to drain, and the allocator stops while it reads that
+    Then no error is logged
--- a/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
@@ -139,6 +139,8 @@
         self, rows: pool.WorkerRows, listed: tuple[worker.WorkerInfo, ...]
     ) -> None:
         """Prepare for a changed worker list, and share it."""
+        if self.stopped:
+            return
         self.executor.calls.assignments.update_mode(len(listed))
         self.executor.broadcaster.share_worker_rows(rows, listed)
 
