--- a/features/pool/takeover.feature
+++ b/features/pool/takeover.feature
@@ -275,3 +275,9 @@
     When 2 s pass in the pool
     And the store answers an instance at once without a change for 2 s
     Then the instance reads the configuration at most 15 times in that time
+
+  Scenario: An allocator that stops while it reads the worker list raises no error
+    # It sent the changed list over links that it had closed.
+    When 2 s pass in the pool
+    And a worker begins to drain, and the allocator stops while it reads that
+    Then no error is logged
--- a/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
@@ -43,8 +43,7 @@
         """End the runs that were lost with the previous incarnation.
 
         The present one may have accepted a start already, or may still receive
-        it: those that were not accepted before the last answered poll are kept
-        until its report.
+        it: those that no answered poll could show are kept until its report.
 
         Args:
             worker_state: The worker, still with its previous incarnation.
@@ -55,8 +54,13 @@
         )
         self.drop_reported(worker_state)
         for run in tuple(worker_state.runs.values()):
-            if run.reportable_s <= worker_state.last_poll_s:
-                self.end_lost(worker_state, run, incarnation, now_s)
+            match run.state:
+                case values.RunState.RUNNING if is_reported(worker_state, run):
+                    self.end_lost(worker_state, run, incarnation, now_s)
+                case values.RunState.STOPPING:
+                    # The present incarnation does not know of the stop.
+                    run.state = values.RunState.UNANSWERED
+                    self.runs.stop(worker_state, run)
         lapsed = worker_state.lapsed_tasks
         worker_state.lapsed_tasks = set()
         for name in lapsed:
@@ -126,6 +130,11 @@
             self.runs.give_up_crashing(task)
 
 
+def is_reported(worker_state: worker.Worker, run: worker.Run) -> bool:
+    """Return whether the last answered poll must have shown a run."""
+    return run.reportable_s <= worker_state.last_poll_s
+
+
 def incarnation_of(
     worker_state: worker.Worker, started_ms: int
 ) -> crash_records.Incarnation:
