Heed the starts that the new owner of a tracked job declares

No report from users: found in a review. Callers would see two runs of a task at a time, and 503, "not run", for a job of which a task had started.

Cause: when a second instance declares a job that the allocator tracks for another one, its known starts and `unconfirmed` were ignored: the allocator took what it had from the first declaration as all there is. After the loss of an allocator, the client's second attempt can be declared before the first one, whose owner knows of a run that the lost allocator has started. A waiting task was then placed beside that run while its worker was silent, and a third owner was told that nothing had started.

Evidence, failing before: - A waiting task is not started beside the run that another owner knows of: StartRun(worker_id='w0', task='1.0.0.0', number=1), with run 1 on w1. - A job is not refused as not run after another owner has declared a start of it: GivenUp(reason=WITHDRAWN, may_have_started=False).

Fix: on a change of owner, a run that is later than those the allocator knows of marks the job as one that may have run; a waiting task awaits the report of the declared worker, or its lease, as for a job that is new to the allocator.

Not covered: a start of the task before the second declaration arrives, and a task that only the second owner knows to be done, which runs again.

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -56,3 +56,20 @@
     And worker 0 reports run 2 of the task
     Then the task is not started
     And the owner knows run 2 on worker 0
+
+  Scenario: A waiting task is not started beside the run that another owner knows of
+    # The client had sent the job to two instances. The allocator had the job
+    # from one of them, and ignored the start that the other one declared.
+    Given an allocator with 2 workers and a job that waits while worker 1 is silent
+    When another instance declares the job with a known run on worker 1
+    And the capacity that the job waits for becomes free
+    Then the task is not started
+    When worker 1 reports that the run is done
+    Then the task is not started
+    And an end of the task as done is sent to its owner
+
+  Scenario: A job is not refused as not run after another owner has declared a start of it
+    Given an allocator with 2 workers and a job that waits while worker 1 is silent
+    When another instance declares the job with a known run on worker 1
+    And a third instance declares the job and withdraws it
+    Then the job is given up as one that may have started
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -63,8 +63,14 @@
         ],
         context.now_s,
     )
+    declare_from(
+        context, OWNER, task, unconfirmed=unconfirmed, redeclared=redeclared
+    )
+
+
+def declare_from(context, owner, task, *, unconfirmed, redeclared=False):
     context.machine.job_admission.declare(
-        OWNER,
+        values.InstanceName(owner),
         messages.Declare(
             job=JOB,
             pool='pool',
@@ -98,6 +104,54 @@
     )
 
 
+@behave.given(
+    'an allocator with {workers:d} workers and a job that waits while worker 1 is silent'
+)
+def given_waiting(context, workers):
+    given_without_known_run(context, workers)
+    machine = context.machine
+    pool_state = machine.state.pool('pool')
+    context.reserved = values.Amount(cpu=pool_state.capacity.free_cpu)
+    context.busy = machine.state.workers[values.WorkerId('w0')]
+    context.busy.reserve(context.reserved, 1)
+    machine.state.update_capacity(context.busy)
+    report(context, 0)
+    assert not starts_in(decisions(machine, context.now_s))
+
+
+@behave.when(
+    'another instance declares the job with a known run on worker {number:d}'
+)
+def when_declared_with_run(context, number):
+    task = messages.DeclaredTask(
+        name=TASK,
+        cpu=1000,
+        run=values.FIRST_RUN,
+        worker=values.WorkerId(f'w{number}'),
+    )
+    declare_from(context, 'second', task, unconfirmed=True)
+
+
+@behave.when('a third instance declares the job and withdraws it')
+def when_third_withdraws(context):
+    declare_from(
+        context,
+        'third',
+        messages.DeclaredTask(name=TASK, cpu=1000),
+        unconfirmed=False,
+    )
+    context.machine.job_admission.withdraw(
+        values.InstanceName('third'), messages.Withdraw(job=JOB)
+    )
+
+
+@behave.when('the capacity that the job waits for becomes free')
+def when_free(context):
+    context.busy.reserve(context.reserved, -1)
+    context.machine.state.update_capacity(context.busy)
+    report(context, 0)
+
+
 @behave.when('worker {number:d} reports a run of the task')
 def when_reports_run(context, number):
     run = outcomes.ListedRun(task=TASK, number=values.FIRST_RUN)
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -9,6 +9,7 @@
     earlier_declarations,
     messages,
     outcomes,
+    owner_changes,
     run_tracker,
     values,
     work,
@@ -34,6 +35,7 @@
         runs: Tracks runs.
         reports: Processes the run reports of workers.
         earlier: What is on record of a job from earlier declarations.
+        owner_changes: Follows jobs whose owner changes or has missed messages.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         self.runs = runs
         self.reports = reports
         self.earlier = earlier_declarations.EarlierDeclarations(state=state)
+        self.owner_changes = owner_changes.OwnerChanges(state=state)
 
     def declare(
         self,
@@ -64,9 +67,7 @@
         tracked = self.state.jobs.get(declared.job)
         self.earlier.log_declared_again(owner, declared)
         if tracked is not None:
-            self.change_owner(tracked, owner)
-            tracked.attempt = declared.attempt
-            self.resend_missed(tracked, declared)
+            self.declare_tracked(tracked, owner, declared, now_s)
             return
         if self.earlier.resend_ending(owner, declared):
             return
@@ -86,47 +87,41 @@
             if not declared_task.done:
                 self.resume_task(task, declared_task, now_s)
 
-    def change_owner(self, job: work.Job, owner: values.InstanceName) -> None:
-        """Set the owner of a job and notify the previous one."""
-        if job.owner == owner:
-            return
-        self.state.log_event(
-            'owner_changed', job=job.job_id, before=job.owner, now=owner
-        )
-        self.state.notify_owner(
-            job,
-            messages.GivenUp(
-                job=job.job_id,
-                reason=values.GiveUpReason.TAKEN_OVER,
-                may_have_started=True,
-                attempt=job.attempt,
-            ),
-        )
-        job.owner = owner
+    def declare_tracked(
+        self,
+        job: work.Job,
+        owner: values.InstanceName,
+        declared: messages.Declare,
+        now_s: float,
+    ) -> None:
+        """Apply a new declaration of a tracked job."""
+        if job.owner != owner:
+            self.owner_changes.change_owner(job, owner)
+            self.add_known_starts(job, declared, now_s)
+        job.attempt = declared.attempt
+        self.owner_changes.resend_missed(job, declared)
 
-    def resend_missed(self, job: work.Job, declared: messages.Declare) -> None:
-        """Send the owner of a job the starts and ends that it has missed."""
+    def add_known_starts(
+        self, job: work.Job, declared: messages.Declare, now_s: float
+    ) -> None:
+        """Apply the starts by another allocator that the new owner knows of.
+
+        Args:
+            job: Job that was tracked for another owner.
+            declared: Declaration of the new owner.
+            now_s: Current time, in seconds.
+        """
+        if declared.unconfirmed:
+            job.unconfirmed_until_s = now_s + UNCONFIRMED_S
         for task, declared_task in zip(job.tasks, declared.tasks, strict=False):
-            if task.done and not declared_task.done:
-                self.state.notify_owner(
-                    job,
-                    messages.Ended(
-                        job=job.job_id,
-                        index=task.index,
-                        kind=values.EndKind.DONE,
-                        attempt=job.attempt,
-                    ),
-                )
-            elif (
-                task.worker is not None and task.worker != declared_task.worker
-            ):
-                start = (task.index, task.next_run - 1, task.worker)
-                self.state.notify_owner(
-                    job,
-                    messages.Begun(
-                        job=job.job_id, starts=(start,), attempt=job.attempt
-                    ),
-                )
+            if declared_task.run < task.next_run and not declared.unconfirmed:
+                continue
+            job.may_have_run_before = True
+            after = values.RunNumber(declared_task.run + 1)
+            task.next_run = max(task.next_run, after)
+            if task in job.waiting:
+                self.state.pool(job.pool).backlog.remove_task(task)
+                self.resume_declared(task, declared_task, now_s)
 
     def refuse_if_overloaded(self, job: work.Job, now_s: float) -> bool:
         """Refuse a job that no worker fits or that would wait too long.
