Vouch for "not run" by the time of the link, not of the arrival

No report from users: found in a review.

Cause: the record of ended jobs vouches for jobs that arrived since it is complete. The arrival was computed from the time at which the declaration was received, and so was later by the time that it had been in transit.

Evidence: "A job that ran is not refused as not run after its declaration was delayed" failed before with GivenUp(reason=WITHDRAWN, may_have_started=False): the job ended 5 ms after its arrival, the declaration took 0.3 s.

Fix: an owner declares its jobs again after the allocator has linked it, so the time of the link less the age of the job is at or before its arrival, whatever the delay. A job is covered as before if its declaration arrives at once.

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -73,3 +73,11 @@
     When another instance declares the job with a known run on worker 1
     And a third instance declares the job and withdraws it
     Then the job is given up as one that may have started
+
+  Scenario: A job that ran is not refused as not run after its declaration was delayed
+    # The job seemed to be newer by the delay, and so as new as the record of
+    # ended jobs.
+    Given an allocator with 1 worker that drops the record of a job that is done
+    When the owner of the job is linked, and its next declaration takes 0.3 s
+    And the owner withdraws its job
+    Then the job is given up as one that may have started
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -5,6 +5,7 @@
 from guavaroad.domain.pool import (
     actions,
     allocator,
+    closed_jobs,
     messages,
     outcomes,
     values,
@@ -52,6 +53,13 @@
 
 
 def declare(context, workers, task, *, unconfirmed=True, redeclared=True):
+    take_over(context, workers)
+    declare_from(
+        context, OWNER, task, unconfirmed=unconfirmed, redeclared=redeclared
+    )
+
+
+def take_over(context, workers):
     context.now_s = TAKEN_OVER_S
     context.machine = allocator.Allocator(
         token=values.Token(2), now_s=context.now_s
@@ -63,12 +71,11 @@
         ],
         context.now_s,
     )
-    declare_from(
-        context, OWNER, task, unconfirmed=unconfirmed, redeclared=redeclared
-    )
 
 
-def declare_from(context, owner, task, *, unconfirmed, redeclared=False):
+def declare_from(
+    context, owner, task, *, unconfirmed, redeclared=False, age_s=0
+):
     context.machine.job_admission.declare(
         values.InstanceName(owner),
         messages.Declare(
@@ -78,7 +85,7 @@
             max_attempts=4,
             payload='',
             estimate_ms=900,
-            age_ms=0,
+            age_ms=int(age_s * 1000),
             objective_ms=600,
             client_timeout_ms=6000,
             tasks=(task,),
@@ -145,6 +152,38 @@
     )
 
 
+@behave.given(
+    'an allocator with 1 worker that drops the record of a job that is done'
+)
+def given_done(context):
+    take_over(context, 1)
+    report(context, 0)
+    # The job ends just before the record begins a new generation.
+    context.now_s = TAKEN_OVER_S + closed_jobs.RETENTION_S - 0.1
+    context.arrived_s = context.now_s
+    task = messages.DeclaredTask(name=TASK, cpu=1000)
+    declare_from(context, OWNER, task, unconfirmed=False)
+    assert len(starts_in(decisions(context.machine, context.now_s))) == 1
+    report_end(context, 0, values.EndKind.DONE)
+    for generation in (1, 2):
+        context.now_s = TAKEN_OVER_S + generation * closed_jobs.RETENTION_S
+        decisions(context.machine, context.now_s)
+    assert context.machine.state.closed.find(JOB) is None
+
+
+@behave.when(
+    'the owner of the job is linked, and its next declaration takes {delay_s:g} s'
+)
+def when_declaration_delayed(context, delay_s):
+    age_s = context.now_s - context.arrived_s
+    context.machine.job_admission.earlier.on_owner_linked(OWNER, context.now_s)
+    context.now_s += delay_s
+    task = messages.DeclaredTask(name=TASK, cpu=1000)
+    declare_from(
+        context, OWNER, task, unconfirmed=False, redeclared=True, age_s=age_s
+    )
+
+
 @behave.when('the capacity that the job waits for becomes free')
 def when_free(context):
     context.busy.reserve(context.reserved, -1)
--- a/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import (
     actions,
     allocator_state,
@@ -20,10 +21,16 @@
 
     Attributes:
         state: State of the allocator.
+        linked_s: When each owner was last linked, in seconds.
     """
 
     def __init__(self, *, state: allocator_state.AllocatorState) -> None:
         self.state = state
+        self.linked_s: dict[values.InstanceName, float] = {}
+
+    def on_owner_linked(self, owner: values.InstanceName, now_s: float) -> None:
+        """Record when an owner was linked."""
+        self.linked_s[owner] = now_s
 
     def log_declared_again(
         self, owner: values.InstanceName, declared: messages.Declare
@@ -52,14 +59,22 @@
         )
 
     def may_have_run(
-        self, declared: messages.Declare, *, arrived_s: float
+        self,
+        owner: values.InstanceName,
+        declared: messages.Declare,
+        now_s: float,
     ) -> bool:
         """Return whether a job that is not tracked may have run before.
 
         Args:
+            owner: Instance that declares the job.
             declared: Its declaration.
-            arrived_s: When its owner received it, in seconds.
+            now_s: Current time, in seconds.
         """
+        # The declaration was sent after the link was established, and may have
+        # been in transit since.
+        sent_s = self.linked_s.get(owner, now_s)
+        arrived_s = sent_s - declared.age_ms / units.MS_PER_S
         if declared.redeclared and not self.state.closed.covers(arrived_s):
             return True
         match self.state.closed.find(declared.job):
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -73,7 +73,7 @@
             return
         job = declared_jobs.build_job(owner, declared, now_s)
         job.may_have_run_before = self.earlier.may_have_run(
-            declared, arrived_s=job.arrived_s
+            owner, declared, now_s
         )
         if self.refuse_if_crashing(job, declared):
             return
--- a/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
@@ -201,6 +201,9 @@
         self, name: values.InstanceName, link: instance_links.LinkPort
     ) -> None:
         """Ask a newly linked instance to follow this allocator."""
+        self.machine.job_admission.earlier.on_owner_linked(
+            name, self.dependencies.timers.now()
+        )
         self.follow_requests.send(
             name,
             link,
