Take no worker for restarted while the list has its earlier start

No report from users: found in a review.

Cause: a worker whose clock was set back between two starts has a lower start time than before. Its reports are followed, but the platform's list lags behind: an entry with the earlier, higher start time was taken for a restart, which ends all runs of the worker at once. Their tasks were started elsewhere while the runs went on, and the next report was taken for one more restart.

Evidence: "A run is not started again while the list has an earlier start of its worker" failed before with StartRun(worker_id='w1', number=2), with run 1 on w0.

Fix: the start time of the incarnation before is remembered, and ignored in the list.

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -81,3 +81,11 @@
     When the owner of the job is linked, and its next declaration takes 0.3 s
     And the owner withdraws its job
     Then the job is given up as one that may have started
+
+  Scenario: A run is not started again while the list has an earlier start of its worker
+    # Its clock had been set back between two starts, so that the earlier one
+    # seemed to be later. The worker was taken for restarted, and its run for lost.
+    Given an allocator with a run on worker 0, whose clock was set back before its last start
+    When the list has its earlier start
+    And worker 1 reports no run
+    Then the task is not started
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -1,5 +1,7 @@
 """Steps for the decisions on jobs that may have runs unknown to their owner."""
 
+import dataclasses
+
 import behave
 
 from guavaroad.domain.pool import (
@@ -18,6 +20,7 @@
 TAKEN_OVER_S = 10
 # Less than the period of the allocator's ticks.
 REPORT_INTERVAL_S = 0.005
+SET_BACK_MS = 5000
 
 
 @behave.given(
@@ -152,6 +155,30 @@
     )
 
 
+@behave.given(
+    'an allocator with a run on worker 0, whose clock was set back before its last start'
+)
+def given_set_back(context):
+    take_over(context, 2)
+    context.listed = [
+        dataclasses.replace(
+            pool_worker.worker_info_of(number, zone='a'),
+            started_ms=number + SET_BACK_MS,
+        )
+        for number in range(2)
+    ]
+    context.machine.update_workers(context.listed, context.now_s)
+    report(context, 0)
+    task = messages.DeclaredTask(name=TASK, cpu=1000)
+    declare_from(context, OWNER, task, unconfirmed=False)
+    assert len(starts_in(decisions(context.machine, context.now_s))) == 1
+
+
+@behave.when('the list has its earlier start')
+def when_listed_earlier(context):
+    context.machine.update_workers(context.listed, context.now_s)
+
+
 @behave.given(
     'an allocator with 1 worker that drops the record of a job that is done'
 )
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -86,6 +86,8 @@
         unlisted_since_s: Time at which it was first missing from the platform's
             list; None if it is listed.
         incarnation_seen_s: Time at which this incarnation was first observed.
+        previous_started_ms: Start of the incarnation before, in milliseconds
+            since 1970; 0 if there was none.
     """
 
     worker_info: WorkerInfo
@@ -110,6 +112,7 @@
     unclaimed_stop_s: float = 0
     unlisted_since_s: float | None = None
     incarnation_seen_s: float = 0
+    previous_started_ms: int = 0
 
     def is_from_earlier_incarnation(
         self, started_ms: int, sent_s: float
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_registry.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_registry.py
@@ -74,8 +74,11 @@
         worker_state.unlisted_since_s = None
         old = worker_state.worker_info
         started_ms = worker_info.started_ms or old.started_ms
-        if old.started_ms and worker_info.started_ms > old.started_ms:
-            self.reports.on_restart(worker_state, worker_info.started_ms, now_s)
+        # The list lags behind, and clocks are set back between two starts.
+        if started_ms == worker_state.previous_started_ms:
+            started_ms = old.started_ms
+        if old.started_ms and started_ms > old.started_ms:
+            self.reports.on_restart(worker_state, started_ms, now_s)
             worker_state.is_synced = False
         if worker_info.draining and not old.draining:
             self.state.log_event(
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -265,6 +265,7 @@
                 runs_lost=len(worker_state.runs),
             )
             self.lost_workers.on_restarted(worker_state, now_s)
+        worker_state.previous_started_ms = worker_state.worker_info.started_ms
         worker_state.last_end_position = 0
         worker_state.report_clock_ms = -1
         worker_state.incarnation_seen_s = now_s
