Look up unclaimed runs by task

No report from users: found in a review of the cost at 20,000 workers. A takeover would have stopped the allocator for minutes on a large site.

Cause: each declared task was looked for at every worker that reports unclaimed runs: to adopt a run, to number the next one, and to decide whether the job may have run. "There are nearly always none" does not hold after a takeover, when a report arrives before the declarations: then these are all workers.

Fix: OpenRuns has the workers with unclaimed runs by task, too. What is adopted and stopped does not change.

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -89,3 +89,10 @@
     When the list has its earlier start
     And worker 1 reports no run
     Then the task is not started
+
+  Scenario: The cost of a declaration does not grow with the workers that report unclaimed runs
+    # At a takeover these are all workers.
+    Given an allocator to which 50 workers report an unclaimed run each
+    When another instance declares the job with a known run on worker 1
+    Then the unclaimed runs of workers are looked up at most 4 times
+    And the job is open, with a run on worker 1
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -1,5 +1,6 @@
 """Steps for the decisions on jobs that may have runs unknown to their owner."""
 
+import collections
 import dataclasses
 
 import behave
@@ -179,6 +180,53 @@
     context.machine.update_workers(context.listed, context.now_s)
 
 
+class CountedRuns(collections.UserDict):
+    """Unclaimed runs of a worker that count how often they are looked up."""
+
+    lookups = 0
+
+    def __contains__(self, name):
+        """Return whether there is a run of a task."""
+        CountedRuns.lookups += 1
+        return super().__contains__(name)
+
+    def __getitem__(self, name):
+        """Return the number of a run."""
+        CountedRuns.lookups += 1
+        return super().__getitem__(name)
+
+    def pop(self, *args):
+        """Remove a run."""
+        CountedRuns.lookups += 1
+        return super().pop(*args)
+
+
+@behave.given(
+    'an allocator to which {workers:d} workers report an unclaimed run each'
+)
+def given_unclaimed(context, workers):
+    take_over(context, workers)
+    for number in reversed(range(workers)):
+        name = TASK if number == 1 else values.TaskName(f'{number:x}f.0.0.0')
+        run = outcomes.ListedRun(task=name, number=values.FIRST_RUN)
+        report(context, number, running=(run,))
+    for worker_state in context.machine.state.workers.values():
+        worker_state.unclaimed_runs = CountedRuns(worker_state.unclaimed_runs)
+    CountedRuns.lookups = 0
+
+
+@behave.then(
+    'the unclaimed runs of workers are looked up at most {count:d} times'
+)
+def then_few_lookups(context, count):
+    assert CountedRuns.lookups <= count, CountedRuns.lookups
+
+
+@behave.then('the job is open, with a run on worker {number:d}')
+def then_on_worker(context, number):
+    assert context.machine.state.tasks[TASK].worker == f'w{number}'
+
+
 @behave.given(
     'an allocator with 1 worker that drops the record of a job that is done'
 )
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -219,13 +219,13 @@
 
     def adopt_reported(self, name: values.TaskName, now_s: float) -> bool:
         """Adopt an unclaimed run of a task; return whether there is one."""
-        for worker_state in self.state.runs.reporters.values():
-            number = worker_state.unclaimed_runs.pop(name, None)
-            if number is not None:
-                listed = outcomes.ListedRun(task=name, number=number)
-                self.reports.adopt_run(worker_state, listed, now_s)
-                return True
-        return False
+        worker_state = self.state.runs.pop_holder(name)
+        if worker_state is None:
+            return False
+        number = worker_state.unclaimed_runs.pop(name)
+        listed = outcomes.ListedRun(task=name, number=number)
+        self.reports.adopt_run(worker_state, listed, now_s)
+        return True
 
     def resume_declared(
         self, task: work.Task, declared: messages.DeclaredTask, now_s: float
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_runs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_runs.py
@@ -15,19 +15,52 @@
     def __init__(self) -> None:
         self.tracked: dict[values.TaskName, worker.Run] = {}
         self.reporters: dict[values.WorkerId, worker.Worker] = {}
+        self.holders: dict[
+            values.TaskName, dict[values.WorkerId, worker.Worker]
+        ] = {}
 
     def last_number(self, name: values.TaskName) -> values.RunNumber | None:
         """Return the highest number of the open runs of a task."""
         numbers = [
-            reporter.unclaimed_runs[name]
-            for reporter in self.reporters.values()
-            if name in reporter.unclaimed_runs
+            holder.unclaimed_runs[name]
+            for holder in self.holders.get(name, {}).values()
         ]
         run = self.tracked.get(name)
         if run is not None:
             numbers.append(run.number)
         return max(numbers, default=None)
 
+    def add_unclaimed(
+        self,
+        worker_state: worker.Worker,
+        name: values.TaskName,
+        number: values.RunNumber,
+    ) -> None:
+        """Record an unclaimed run that a worker reports."""
+        worker_state.unclaimed_runs[name] = number
+        holders = self.holders.setdefault(name, {})
+        holders[worker_state.worker_info.worker_id] = worker_state
+
+    def pop_holder(self, name: values.TaskName) -> worker.Worker | None:
+        """Remove and return a worker that reports a run of a task."""
+        holders = self.holders.get(name)
+        if not holders:
+            return None
+        worker_id = next(iter(holders))
+        worker_state = holders.pop(worker_id)
+        if not holders:
+            self.holders.pop(name)
+        return worker_state
+
+    def clear_unclaimed(self, worker_state: worker.Worker) -> None:
+        """Forget the unclaimed runs of a worker before its next report."""
+        for name in worker_state.unclaimed_runs:
+            holders = self.holders.get(name, {})
+            holders.pop(worker_state.worker_info.worker_id, None)
+            if not holders:
+                self.holders.pop(name, None)
+        worker_state.unclaimed_runs = {}
+
     def note_unclaimed(self, worker_state: worker.Worker, now_s: float) -> None:
         """Record since when a worker reports unclaimed runs, if it does."""
         if not worker_state.unclaimed_runs:
@@ -40,6 +73,6 @@
 
     def drop_unclaimed(self, worker_state: worker.Worker) -> None:
         """Drop the unclaimed runs of a worker, which are over."""
-        worker_state.unclaimed_runs = {}
+        self.clear_unclaimed(worker_state)
         worker_state.unclaimed_since_s = None
         self.reporters.pop(worker_state.worker_info.worker_id, None)
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -135,7 +135,7 @@
             now_s: Current time, in seconds.
         """
         listed = {entry.task: entry for entry in report.running}
-        worker_state.unclaimed_runs = {}
+        self.state.runs.clear_unclaimed(worker_state)
         for entry in report.running:
             run = worker_state.runs.get(entry.task)
             if run is not None and run.number == entry.number:
@@ -177,7 +177,9 @@
         """
         task = self.state.tasks.get(entry.task)
         if task is None or task.worker is not None or task.done:
-            worker_state.unclaimed_runs[entry.task] = entry.number
+            self.state.runs.add_unclaimed(
+                worker_state, entry.task, entry.number
+            )
             return
         pool = self.state.pool(task.job.pool)
         if task in task.job.waiting:
