Remember for longer which abandoned jobs may have started

No report from users: found in a review. A client that sent its job again 2.5 s or more after it had lost its first connection could be answered 503, "not run", for a job of which tasks had started.

Cause: the allocator remembers for 2 to 4 s that a job was given up after a start. Clients come later than that: one whose instance hangs waits for its own timeout first.

Evidence: "A second attempt is not refused as not run when it comes late" failed before with "was reported as not run but has started".

Fix: the ids of abandoned jobs that may have started are retained for 10 to 20 s. What the owner is sent again does not change.

--- a/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
@@ -13,6 +13,10 @@
 # Minimum retention of a result, in seconds. A link is declared lost and
 # re-established within 0.7 s, and clients send a job again after 1.3 s.
 RETENTION_S: Final = 2
+# Minimum retention of the ids of abandoned jobs that may have started, in
+# seconds. Clients whose instance does not answer send a job again after their
+# timeout.
+STARTED_RETENTION_S: Final = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,7 +41,29 @@
 
 
 class ClosedJobs(generations.Generations[values.JobId, Ending]):
-    """How jobs ended, by their id."""
+    """How jobs ended, by their id.
+
+    Attributes:
+        started: Abandoned jobs that may have started. There are few, so that
+            they can be retained for longer.
+    """
 
     def __init__(self, *, now_s: float) -> None:
         super().__init__(retention_s=RETENTION_S, now_s=now_s)
+        self.started: generations.Generations[values.JobId, bool] = (
+            generations.Generations(
+                retention_s=STARTED_RETENTION_S, now_s=now_s
+            )
+        )
+
+    def record(self, key: values.JobId, entry: Ending) -> None:
+        """Record how a job ended."""
+        super().record(key, entry)
+        match entry:
+            case Abandoned(given_up=messages.GivenUp(may_have_started=True)):
+                self.started.record(key, entry=True)
+
+    def expire(self, now_s: float) -> None:
+        """Drop the entries whose retention has ended."""
+        super().expire(now_s)
+        self.started.expire(now_s)
--- a/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -77,11 +77,8 @@
         arrived_s = sent_s - declared.age_ms / units.MS_PER_S
         if declared.redeclared and not self.state.closed.covers(arrived_s):
             return True
-        match self.state.closed.find(declared.job):
-            case closed_jobs.Abandoned(
-                given_up=messages.GivenUp(may_have_started=True)
-            ):
-                return True
+        if self.state.closed.started.find(declared.job):
+            return True
         return declared.unconfirmed or self.has_reported_run(declared)
 
     def has_reported_run(self, declared: messages.Declare) -> bool:
