Give up a crashing task earlier while the record of losses is new

A task that crashes its workers was started three more times after three workers had crashed under it, which is the rule BUDGET.

Cause: three losses of workers that have not restarted are allowed. An allocator that is killed just after the third crash knew of two of them, and its record is lost; if the owner is lost as well, for which one killed machine is enough, the next allocator allows three again.

Fix: for the first minute of its record an allocator counts suspected losses like crashes: two, so that at most five workers are lost with one change of allocator.

Not covered: two changes of allocator within the minute, each with the owner.

--- a/features/pool/deadly_tasks.feature
+++ b/features/pool/deadly_tasks.feature
@@ -29,6 +29,16 @@
     And no task is started three times after it has crashed three workers
     And no invariant is violated
 
+  Scenario: A task that crashes its workers is not started anew when its allocator and its owner are lost
+    # One machine was both, so that nobody knew of the first three crashes.
+    When 62 s pass in the pool
+    And a job with a task that crashes its workers is submitted at the allocator
+    And the allocator is killed after the task has crashed 3 workers
+    And the client sends the deadly job again to another instance
+    And 15 s pass in the pool
+    Then the last job has failed
+    And no task is started three times after it has crashed three workers
+
   Scenario: Jobs beside a task that crashes its workers do not fail
     When 2 s pass in the pool
     And a job with a task that crashes its workers is submitted by a client that waits 30 s
--- a/features/steps/deadly_task_steps.py
+++ b/features/steps/deadly_task_steps.py
@@ -5,7 +5,7 @@
 import behave
 
 from guavaroad.domain.pool import open_jobs
-from support import pool_deadly
+from support import pool_deadly, pool_worlds
 
 RESEND_DELAY_S = 1.3
 MAX_LATE_STARTS = 2
@@ -33,6 +33,33 @@
     context.pool.hand_in(away_from_allocator(context.pool), request)
 
 
+@behave.when(
+    'a job with a task that crashes its workers is submitted at the allocator'
+)
+def when_deadly_at_allocator(context):
+    context.request = deadly_request(context, client_timeout_ms=30_000)
+    context.pool.hand_in(context.pool.allocator().name, context.request)
+
+
+@behave.when(
+    'the allocator is killed after the task has crashed {count:d} workers'
+)
+def when_killed_after_crashes(context, count):
+    pool = context.pool
+    name = context.request.tasks[0].name
+    while context.deadly.crashes[name] < count:
+        pool.run(pool_worlds.STEP_S)
+    context.killed = pool.allocator().name
+    pool.kill(context.killed)
+    pool.run(RESEND_DELAY_S)
+
+
+@behave.when('the client sends the deadly job again to another instance')
+def when_deadly_again(context):
+    names = [name for name in context.pool.instances if name != context.killed]
+    context.pool.hand_in(names[0], context.request)
+
+
 @behave.when(
     'a client sends a job with a task that crashes its workers again and again for {seconds:g} s'
 )
--- a/packages/guavaroad/src/guavaroad/domain/pool/crash_records.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/crash_records.py
@@ -43,10 +43,6 @@
         """Return the number of workers that were lost."""
         return len(self.crashed) + len(self.silent) + self.earlier
 
-    def is_over_limit(self) -> bool:
-        """Return whether the task is to be given up."""
-        return len(self.crashed) >= MAX_CRASHES or self.losses() >= MAX_LOSSES
-
 
 _NO_LOSSES: Final = CrashRecord()
 
@@ -56,9 +52,11 @@
 
     Attributes:
         records: Records by task, retained for a limited time.
+        begun_s: Since when losses are recorded, in seconds.
     """
 
     def __init__(self, *, now_s: float) -> None:
+        self.begun_s = now_s
         self.records: generations.Generations[values.TaskName, CrashRecord] = (
             generations.Generations(retention_s=RETENTION_S, now_s=now_s)
         )
@@ -67,6 +65,19 @@
         """Return the losses under a task."""
         return self.records.find(task) or _NO_LOSSES
 
+    def is_over_limit(self, task: values.TaskName) -> bool:
+        """Return whether a task is to be given up.
+
+        As long as another allocator may have recorded losses that no owner
+        knows of any longer, suspected losses count like crashes.
+        """
+        record = self.find(task)
+        is_complete = self.records.rotated_s > self.begun_s
+        max_losses = MAX_LOSSES if is_complete else MAX_CRASHES
+        return (
+            len(record.crashed) >= MAX_CRASHES or record.losses() >= max_losses
+        )
+
     def record_silent(
         self, task: values.TaskName, incarnation: Incarnation
     ) -> None:
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -173,8 +173,7 @@
         """
         for task, declared_task in zip(job.tasks, declared.tasks, strict=True):
             self.runs.crashes.inherit(task.name, declared_task.losses)
-            record = self.runs.crashes.find(task.name)
-            if record.is_over_limit() and not task.done:
+            if self.runs.crashes.is_over_limit(task.name) and not task.done:
                 self.runs.give_up_crashing(task)
                 return True
         return False
--- a/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
@@ -50,10 +50,7 @@
         self.end_runs(worker_state, now_s)
         for name in lapsed:
             task = self.state.tasks.get(name)
-            if (
-                task is not None
-                and self.runs.crashes.find(name).is_over_limit()
-            ):
+            if task is not None and self.runs.crashes.is_over_limit(name):
                 self.give_up(task)
 
     def on_answered(self, worker_state: worker.Worker) -> None:
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -259,7 +259,7 @@
             task.failures += 1
         if task.failures >= job.max_attempts:
             self.give_up(job, values.GiveUpReason.ATTEMPTS_USED)
-        elif self.crashes.find(task.name).is_over_limit():
+        elif self.crashes.is_over_limit(task.name):
             self.give_up_crashing(task)
         else:
             self.state.queue_task(task, now_s)
