--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -61,6 +61,46 @@
     # The client had sent the job to another instance, which declares it again later.
     # The record of the end is what a third instance is answered by.
     Given an allocator with 2 workers and a job of 1 task without a known run
-    When another instance declares the job with a known run on worker 1
+    When the other instance declares its job with a known run on worker 1
     And the other instance withdraws its job
     Then the job is given up as one that may have started
+
+  Scenario: A waiting task is not started beside the run that another owner knows of
+    # The client had sent the job to two instances. The allocator had the job
+    # from one of them, and ignored the start that the other one declared.
+    Given an allocator with 2 workers and a job that waits while worker 1 is silent
+    When another instance declares the job with a known run on worker 1
+    And the capacity that the job waits for becomes free
+    Then the task is not started
+    When worker 1 reports that the run is done
+    Then the task is not started
+    And an end of the task as done is sent to its owner
+
+  Scenario: A job is not refused as not run after another owner has declared a start of it
+    Given an allocator with 2 workers and a job that waits while worker 1 is silent
+    When another instance declares the job with a known run on worker 1
+    And a third instance declares the job and withdraws it
+    Then the job is given up as one that may have started
+
+  Scenario: A job that ran is not refused as not run after its declaration was delayed
+    # The job seemed to be newer by the delay, and so as new as the record of
+    # ended jobs.
+    Given an allocator with 1 worker that drops the record of a job that is done
+    When the owner of the job is linked, and its next declaration takes 0.3 s
+    And the owner withdraws its job
+    Then the job is given up as one that may have started
+
+  Scenario: A run is not started again while the list has an earlier start of its worker
+    # Its clock had been set back between two starts, so that the earlier one
+    # seemed to be later. The worker was taken for restarted, and its run for lost.
+    Given an allocator with a run on worker 0, whose clock was set back before its last start
+    When the list has its earlier start
+    And worker 1 reports no run
+    Then the task is not started
+
+  Scenario: The cost of a declaration does not grow with the workers that report unclaimed runs
+    # At a takeover these are all workers.
+    Given an allocator to which 50 workers report an unclaimed run each
+    When another instance declares the job with a known run on worker 1
+    Then the unclaimed runs of workers are looked up at most 4 times
+    And the job is open, with a run on worker 1
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -1,10 +1,14 @@
 """Steps for the decisions on jobs that may have runs unknown to their owner."""
 
+import collections
+import dataclasses
+
 import behave
 
 from guavaroad.domain.pool import (
     actions,
     allocator,
+    closed_jobs,
     messages,
     outcomes,
     values,
@@ -18,6 +22,7 @@
 TAKEN_OVER_S = 10
 # Less than the period of the allocator's ticks.
 REPORT_INTERVAL_S = 0.005
+SET_BACK_MS = 5000
 
 
 @behave.given(
@@ -56,6 +61,13 @@
 
 
 def declare(context, workers, task, *, unconfirmed=True, redeclared=True):
+    take_over(context, workers)
+    declare_from(
+        context, OWNER, task, unconfirmed=unconfirmed, redeclared=redeclared
+    )
+
+
+def take_over(context, workers):
     context.now_s = TAKEN_OVER_S
     context.machine = allocator.Allocator(
         token=values.Token(2), now_s=context.now_s
@@ -67,34 +79,38 @@
         ],
         context.now_s,
     )
-    declared = declaration(task, unconfirmed=unconfirmed, redeclared=redeclared)
-    context.machine.job_admission.declare(OWNER, declared, context.now_s)
-
-
-def declaration(task, *, unconfirmed, redeclared):
-    return messages.Declare(
-        job=JOB,
-        pool='pool',
-        urgency=0,
-        max_attempts=4,
-        payload='',
-        estimate_ms=900,
-        age_ms=0,
-        objective_ms=600,
-        client_timeout_ms=6000,
-        tasks=(task,),
-        unconfirmed=unconfirmed,
-        redeclared=redeclared,
+
+
+def declare_from(
+    context, owner, task, *, unconfirmed, redeclared=False, age_s=0
+):
+    context.machine.job_admission.declare(
+        values.InstanceName(owner),
+        messages.Declare(
+            job=JOB,
+            pool='pool',
+            urgency=0,
+            max_attempts=4,
+            payload='',
+            estimate_ms=900,
+            age_ms=int(age_s * 1000),
+            objective_ms=600,
+            client_timeout_ms=6000,
+            tasks=(task,),
+            unconfirmed=unconfirmed,
+            redeclared=redeclared,
+        ),
+        context.now_s,
     )
 
 
 @behave.when(
-    'another instance declares the job with a known run on worker {number:d}'
+    'the other instance declares its job with a known run on worker {number:d}'
 )
 def when_declared_elsewhere(context, number):
-    task = known_run(number)
-    declared = declaration(task, unconfirmed=False, redeclared=True)
-    context.machine.job_admission.declare(OTHER, declared, context.now_s)
+    declare_from(
+        context, OTHER, known_run(number), unconfirmed=False, redeclared=True
+    )
 
 
 @behave.when('the other instance withdraws its job')
@@ -117,6 +133,157 @@
     )
 
 
+@behave.given(
+    'an allocator with {workers:d} workers and a job that waits while worker 1 is silent'
+)
+def given_waiting(context, workers):
+    given_without_known_run(context, workers)
+    machine = context.machine
+    pool_state = machine.state.pool('pool')
+    context.reserved = values.Amount(cpu=pool_state.capacity.free_cpu)
+    context.busy = machine.state.workers[values.WorkerId('w0')]
+    context.busy.reserve(context.reserved, 1)
+    machine.state.update_capacity(context.busy)
+    report(context, 0)
+    assert not starts_in(decisions(machine, context.now_s))
+
+
+@behave.when(
+    'another instance declares the job with a known run on worker {number:d}'
+)
+def when_declared_with_run(context, number):
+    task = messages.DeclaredTask(
+        name=TASK,
+        cpu=1000,
+        run=values.FIRST_RUN,
+        worker=values.WorkerId(f'w{number}'),
+    )
+    declare_from(context, 'second', task, unconfirmed=True)
+
+
+@behave.when('a third instance declares the job and withdraws it')
+def when_third_withdraws(context):
+    declare_from(
+        context,
+        'third',
+        messages.DeclaredTask(name=TASK, cpu=1000),
+        unconfirmed=False,
+    )
+    context.machine.job_admission.withdraw(
+        values.InstanceName('third'), messages.Withdraw(job=JOB)
+    )
+
+
+@behave.given(
+    'an allocator with a run on worker 0, whose clock was set back before its last start'
+)
+def given_set_back(context):
+    take_over(context, 2)
+    context.listed = [
+        dataclasses.replace(
+            pool_worker.worker_info_of(number, zone='a'),
+            started_ms=number + SET_BACK_MS,
+        )
+        for number in range(2)
+    ]
+    context.machine.update_workers(context.listed, context.now_s)
+    report(context, 0)
+    task = messages.DeclaredTask(name=TASK, cpu=1000)
+    declare_from(context, OWNER, task, unconfirmed=False)
+    assert len(starts_in(decisions(context.machine, context.now_s))) == 1
+
+
+@behave.when('the list has its earlier start')
+def when_listed_earlier(context):
+    context.machine.update_workers(context.listed, context.now_s)
+
+
+class CountedRuns(collections.UserDict):
+    """Unclaimed runs of a worker that count how often they are looked up."""
+
+    lookups = 0
+
+    def __contains__(self, name):
+        """Return whether there is a run of a task."""
+        CountedRuns.lookups += 1
+        return super().__contains__(name)
+
+    def __getitem__(self, name):
+        """Return the number of a run."""
+        CountedRuns.lookups += 1
+        return super().__getitem__(name)
+
+    def pop(self, *args):
+        """Remove a run."""
+        CountedRuns.lookups += 1
+        return super().pop(*args)
+
+
+@behave.given(
+    'an allocator to which {workers:d} workers report an unclaimed run each'
+)
+def given_unclaimed(context, workers):
+    take_over(context, workers)
+    for number in reversed(range(workers)):
+        name = TASK if number == 1 else values.TaskName(f'{number:x}f.0.0.0')
+        run = outcomes.ListedRun(task=name, number=values.FIRST_RUN)
+        report(context, number, running=(run,))
+    for worker_state in context.machine.state.workers.values():
+        worker_state.unclaimed_runs = CountedRuns(worker_state.unclaimed_runs)
+    CountedRuns.lookups = 0
+
+
+@behave.then(
+    'the unclaimed runs of workers are looked up at most {count:d} times'
+)
+def then_few_lookups(context, count):
+    assert CountedRuns.lookups <= count, CountedRuns.lookups
+
+
+@behave.then('the job is open, with a run on worker {number:d}')
+def then_on_worker(context, number):
+    assert context.machine.state.tasks[TASK].worker == f'w{number}'
+
+
+@behave.given(
+    'an allocator with 1 worker that drops the record of a job that is done'
+)
+def given_done(context):
+    take_over(context, 1)
+    report(context, 0)
+    # The job ends just before the record begins a new generation.
+    context.now_s = TAKEN_OVER_S + closed_jobs.RETENTION_S - 0.1
+    context.arrived_s = context.now_s
+    task = messages.DeclaredTask(name=TASK, cpu=1000)
+    declare_from(context, OWNER, task, unconfirmed=False)
+    assert len(starts_in(decisions(context.machine, context.now_s))) == 1
+    report_end(context, 0, values.EndKind.DONE)
+    for generation in (1, 2):
+        context.now_s = TAKEN_OVER_S + generation * closed_jobs.RETENTION_S
+        decisions(context.machine, context.now_s)
+    assert context.machine.state.closed.find(JOB) is None
+
+
+@behave.when(
+    'the owner of the job is linked, and its next declaration takes {delay_s:g} s'
+)
+def when_declaration_delayed(context, delay_s):
+    age_s = context.now_s - context.arrived_s
+    context.machine.job_admission.earlier.on_owner_linked(OWNER, context.now_s)
+    context.now_s += delay_s
+    task = messages.DeclaredTask(name=TASK, cpu=1000)
+    declare_from(
+        context, OWNER, task, unconfirmed=False, redeclared=True, age_s=age_s
+    )
+
+
+@behave.when('the capacity that the job waits for becomes free')
+def when_free(context):
+    context.busy.reserve(context.reserved, -1)
+    context.machine.state.update_capacity(context.busy)
+    report(context, 0)
+
+
 @behave.when('worker {number:d} reports a run of the task')
 def when_reports_run(context, number):
     run = outcomes.ListedRun(task=TASK, number=values.FIRST_RUN)
