--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -191,6 +191,7 @@
     task = messages.DeclaredTask(name=TASK, cpu=1000)
     declare_from(context, OWNER, task, unconfirmed=False)
     assert len(starts_in(decisions(context.machine, context.now_s))) == 1
+    context.machine.pop_actions()
 
 
 @behave.when('the list has its earlier start')
