Tell an owner the number of the run that its task has

An owner that declared a job again was told of a run with a number that the task did not have. It declares that number to the next allocator, which then takes the end of the real run for an outdated one.

Cause: the number was computed from that of the next start, which is higher than that of an adopted earlier run plus one.

Evidence: the new scenario failed before with "ASSERT FAILED: [((0, 2, 'w0'),)]", where the run that worker 0 reports is run 1.

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -41,3 +41,11 @@
     And worker 0 reports run 2 of the task
     Then the task is not started
     And the owner knows run 2 on worker 0
+
+  Scenario: An owner that has missed a start is told the number of that run
+    Given an allocator with 2 workers and an unconfirmed job with known run 2 on worker 1
+    When worker 1 reports no run
+    And worker 0 reports run 1 of the task
+    And the owner declares the job again without a run
+    Then the task is not started
+    And the owner knows run 1 on worker 0
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -54,6 +54,10 @@
         ],
         context.now_s,
     )
+    declare_job(context, task)
+
+
+def declare_job(context, task):
     context.machine.job_admission.declare(
         values.InstanceName('owner'),
         messages.Declare(
@@ -117,6 +121,12 @@
     report(context, number)
 
 
+@behave.when('the owner declares the job again without a run')
+def when_declared_again(context):
+    context.machine.pop_actions()
+    declare_job(context, messages.DeclaredTask(name=TASK, cpu=1000))
+
+
 @behave.when('worker {number:d} is silent for {seconds:g} s')
 def when_silent(context, number, seconds):
     context.now_s += seconds
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -115,7 +115,8 @@
             elif (
                 task.worker is not None and task.worker != declared_task.worker
             ):
-                start = (task.index, task.next_run - 1, task.worker)
+                run = self.state.runs.tracked[task.name]
+                start = (task.index, run.number, task.worker)
                 self.state.notify_owner(
                     job, messages.Begun(job=job.job_id, starts=(start,))
                 )
