Number the next run of a task after every run that was reported

What callers saw: nothing yet. A task whose run on one worker had been stopped as unclaimed could start elsewhere under the same number. To the next allocator, a record of the end of the one run is that of the other: it would start the task beside the run that goes on.

Cause: an unclaimed run counted for the number of the next start only while it was reported.

Evidence: the new scenario failed before with "ASSERT FAILED: [StartRun(worker_id='w0', task='1.0.0.0', number=2, ...)]" after run 2 had been reported by that worker.

The number is raised with each report of a run that was not known, whether the run is adopted or not.

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -42,6 +42,14 @@
     Then the task is not started
     And the owner knows run 2 on worker 0
 
+  Scenario: A run number is not used again after another worker has reported it
+    # A record of the end of the one run was taken as that of the other.
+    Given an allocator with 2 workers and an unconfirmed job with a known run on worker 1
+    When worker 0 reports run 2 of the task
+    And worker 0 reports no run
+    And worker 1 reports no run
+    Then run 3 of the task is started
+
   Scenario: An owner that has missed a start is told the number of that run
     Given an allocator with 2 workers and an unconfirmed job with known run 2 on worker 1
     When worker 1 reports no run
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -158,6 +158,9 @@
         A run that belongs to no open task is recorded as unclaimed.
         """
         task = self.state.tasks.get(entry.task)
+        if task is not None:
+            after = values.RunNumber(entry.number + 1)
+            task.next_run = max(task.next_run, after)
         if task is None or task.worker is not None or task.done:
             worker_state.unclaimed_runs[entry.task] = entry.number
             return
