--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -329,6 +329,13 @@
     report(context, number)
 
 
+@behave.when('the owner declares the job again without a run')
+def when_declared_again(context):
+    context.machine.pop_actions()
+    task = messages.DeclaredTask(name=TASK, cpu=1000)
+    declare_from(context, OWNER, task, unconfirmed=True, redeclared=True)
+
+
 @behave.when('worker {number:d} is silent for {seconds:g} s')
 def when_silent(context, number, seconds):
     context.now_s += seconds
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -174,6 +174,9 @@
         A run that belongs to no open task is recorded as unclaimed.
         """
         task = self.state.tasks.get(entry.task)
+        if task is not None:
+            after = values.RunNumber(entry.number + 1)
+            task.next_run = max(task.next_run, after)
         if task is None or task.worker is not None or task.done:
             self.state.runs.add_unclaimed(
                 worker_state, entry.task, entry.number
