Keep the end of the latest run that is reported before its job is declared

A task that was done could start again after a takeover.

Cause: of the ends that workers report before the job is declared, the last one reported was kept, whichever run it was of: the stop of run 1 replaced the end of run 2, which was done.

Evidence: "A task that is done is not started again after the end of an earlier run was reported" failed before with StartRun(worker_id='w0', task='1.0.0.0', number=1).

The end of the run with the highest number is kept now.

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -120,3 +120,12 @@
     And the owner declares the job again without a run
     Then the task is not started
     And the owner knows run 1 on worker 0
+
+  Scenario: A task that is done is not started again after the end of an earlier run was reported
+    # The later report of the earlier run replaced the end of the run that was done.
+    Given an allocator with 2 workers to which no job is declared
+    When worker 0 reports that run 2 is done
+    And worker 1 reports that run 1 was stopped
+    And the owner declares the job again without a run
+    Then the task is not started
+    And an end of the task as done is sent to its owner
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -297,6 +297,23 @@
     report(context, number, running=(listed,))
 
 
+@behave.given(
+    'an allocator with {workers:d} workers to which no job is declared'
+)
+def given_undeclared(context, workers):
+    take_over(context, workers)
+
+
+@behave.when('worker {number:d} reports that run {run:d} is done')
+def when_run_done(context, number, run):
+    report_end(context, number, values.EndKind.DONE, run)
+
+
+@behave.when('worker {number:d} reports that run {run:d} was stopped')
+def when_run_stopped(context, number, run):
+    report_end(context, number, values.EndKind.STOPPED, run)
+
+
 @behave.when('worker {number:d} reports that the run was stopped')
 def when_reports_stopped(context, number):
     report_end(context, number, values.EndKind.STOPPED)
@@ -312,9 +329,9 @@
     report_end(context, number, values.EndKind.DONE)
 
 
-def report_end(context, number, kind):
+def report_end(context, number, kind, run=values.FIRST_RUN):
     end = outcomes.ListedEnd(
-        position=1, task=TASK, number=values.FIRST_RUN, kind=kind
+        position=1, task=TASK, number=values.RunNumber(run), kind=kind
     )
     report(context, number, ended=(end,))
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -234,11 +234,17 @@
             return
         task = self.state.tasks.get(end.task)
         if task is None:
+            self.record_early_end(end, now_s)
+        else:
+            self.record_untracked_end(task, end, now_s)
+
+    def record_early_end(self, end: outcomes.ListedEnd, now_s: float) -> None:
+        """Record the end of a task's latest run before its job is declared."""
+        known = self.state.early_ends.get(end.task)
+        if known is None or known.number <= end.number:
             self.state.early_ends[end.task] = allocator_state.EarlyEnd(
                 number=end.number, kind=end.kind, recorded_s=now_s
             )
-            return
-        self.record_untracked_end(task, end, now_s)
 
     def record_untracked_end(
         self, task: work.Task, end: outcomes.ListedEnd, now_s: float
