--- a/features/pool/restarted_workers.feature
+++ b/features/pool/restarts_in_lists.feature
@@ -1,4 +1,4 @@
-Feature: Workers that restart under their id
+Feature: A worker restarts, as the list or its report shows
 
   Scenario Outline: A run that a restarted worker has accepted is not started again
     # The allocator learned of the restart after the new process had accepted a
--- a/features/pool/restarts.feature
+++ b/features/pool/restarts_in_reports.feature
@@ -1,4 +1,4 @@
-Feature: Runs on a worker that restarts
+Feature: A worker restarts while the outcome of a start is awaited
 
   Background:
     Given an allocator with 1 workers and a job of 1 task without a known run
--- a/features/pool/lost_runs.feature
+++ b/features/pool/restarts_in_transit.feature
@@ -1,4 +1,4 @@
-Feature: Runs that a restarted worker is known to have lost
+Feature: A worker restarts while starts and stops are in transit
 
   Background:
     Given an allocator with 2 workers and an unconfirmed job of 1 task
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_runs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_runs.py
@@ -10,6 +10,7 @@
         tracked: Runs that hold capacity on a worker, by task.
         reporters: Workers that report unclaimed runs, by id. There are nearly
             always none.
+        holders: Workers that report an unclaimed run of a task, by task and id.
     """
 
     def __init__(self) -> None:
