--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -167,10 +167,10 @@
     def refuse_if_crashing(
         self, job: work.Job, declared: messages.Declare
     ) -> bool:
-        """Fail a job with a task that has crashed too many workers.
+        """Give up a job with a task under which too many workers were lost.
 
         Returns:
-            Whether the job has failed.
+            Whether the job was given up.
         """
         for task, declared_task in zip(job.tasks, declared.tasks, strict=True):
             self.runs.crashes.inherit(task.name, declared_task.losses)
--- a/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
@@ -5,7 +5,6 @@
     crash_records,
     run_tracker,
     values,
-    work,
     worker,
 )
 
@@ -29,9 +28,7 @@
 
     def on_lapsed(self, worker_state: worker.Worker, now_s: float) -> None:
         """End every run of a worker whose leases must have lapsed."""
-        incarnation = incarnation_of(
-            worker_state, worker_state.worker_info.started_ms
-        )
+        incarnation = present_incarnation(worker_state)
         self.drop_reported(worker_state)
         for run in tuple(worker_state.runs.values()):
             self.runs.crashes.record_silent(run.task.name, incarnation)
@@ -49,9 +46,7 @@
             worker_state: The worker, still with its previous incarnation.
             now_s: Current time, in seconds.
         """
-        incarnation = incarnation_of(
-            worker_state, worker_state.worker_info.started_ms
-        )
+        incarnation = present_incarnation(worker_state)
         self.drop_reported(worker_state)
         for run in tuple(worker_state.runs.values()):
             match run.state:
@@ -65,9 +60,15 @@
         worker_state.lapsed_tasks = set()
         for name in lapsed:
             self.runs.crashes.record_crash(name, incarnation)
-            task = self.state.tasks.get(name)
-            if task is not None and self.runs.crashes.is_over_limit(name):
-                self.give_up(task)
+            self.give_up_if_crashing(name)
+
+    def give_up_if_crashing(self, name: values.TaskName) -> None:
+        """Give up the job of a task that has crashed too many workers."""
+        task = self.state.tasks.get(name)
+        if task is None or task.done:
+            return
+        if self.runs.crashes.is_over_limit(name):
+            self.runs.give_up_crashing(task)
 
     def on_missing(
         self, worker_state: worker.Worker, run: worker.Run, now_s: float
@@ -99,9 +100,7 @@
 
     def on_answered(self, worker_state: worker.Worker) -> None:
         """Clear the tasks of a worker that was cut off, not crashed."""
-        incarnation = incarnation_of(
-            worker_state, worker_state.worker_info.started_ms
-        )
+        incarnation = present_incarnation(worker_state)
         for name in worker_state.lapsed_tasks:
             self.runs.crashes.clear(name, incarnation)
         worker_state.lapsed_tasks = set()
@@ -124,17 +123,19 @@
             losses=record.losses(),
         )
 
-    def give_up(self, task: work.Task) -> None:
-        """Give up the job of a task that crashes its workers."""
-        if not task.done:
-            self.runs.give_up_crashing(task)
-
 
 def is_reported(worker_state: worker.Worker, run: worker.Run) -> bool:
     """Return whether the last answered poll must have shown a run."""
     return run.reportable_s <= worker_state.last_poll_s
 
 
+def present_incarnation(
+    worker_state: worker.Worker,
+) -> crash_records.Incarnation:
+    """Return the present incarnation of a worker."""
+    return incarnation_of(worker_state, worker_state.worker_info.started_ms)
+
+
 def incarnation_of(
     worker_state: worker.Worker, started_ms: int
 ) -> crash_records.Incarnation:
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -35,7 +35,6 @@
 # Lower bound of an estimate, in seconds. Estimates are rough, and a shorter one
 # would make every run look slow.
 MIN_ESTIMATE_S: Final = 0.02
-_ANY_TIME_S: Final = float('inf')
 
 
 # Refusals that show nothing about the worker that was to run the task.
