Remember for 10 s which closed jobs may have started

Seen: a job that was done was answered 503 (`overloaded`, "not run") when its client sent it again 6 s later, after the first owner was killed before it could answer.

Cause: the allocator retained the end of a complete job for 2 to 4 s only; a missing record was taken for proof that the job is new. The ids of abandoned jobs were retained for 10 s, those of complete ones not, as there are too many.

--- a/features/pool/promises.feature
+++ b/features/pool/promises.feature
@@ -44,6 +44,19 @@
     Then the last job is answered
     And no invariant is violated
 
+  Scenario: A second attempt is not refused as not run after the first one was done
+    # The answer was lost with the owner, and the allocator had forgotten after 2
+    # to 4 s that the job was done.
+    When 2 s pass in the pool
+    And a job of 2 tasks of 300 ms is submitted away from the allocator
+    And 0.1 s pass in the pool
+    And its owner is killed
+    And 6 s pass in the pool in an overload
+    And the client sends the job again to another instance
+    And 6 s pass in the pool in an overload
+    Then the last job is answered
+    And no invariant is violated
+
   Scenario: A second attempt is not refused as not run while a worker reports the first one
     # The next allocator did not know the first attempt, but the worker's report
     # had its run.
--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -100,6 +100,11 @@
             pool.kill(name)
 
 
+@behave.when('its owner is killed')
+def when_owner_killed(context):
+    context.pool.kill(owner_of_last_job(context).name)
+
+
 @behave.when('its owner is cut off from the store')
 def when_owner_without_store(context):
     node = context.owner.node
--- a/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
@@ -8,14 +8,13 @@
 import dataclasses
 from typing import Final
 
-from guavaroad.domain.pool import generations, messages, values
+from guavaroad.domain.pool import generations, id_filter, messages, values
 
 # Minimum retention of a result, in seconds. A link is declared lost and
 # re-established within 0.7 s, and clients send a job again after 1.3 s.
 RETENTION_S: Final = 2
-# Minimum retention of the ids of abandoned jobs that may have started, in
-# seconds. Clients whose instance does not answer send a job again after their
-# timeout.
+# Minimum retention of the ids of jobs that may have started, in seconds.
+# Clients whose instance does not answer send a job again after their timeout.
 STARTED_RETENTION_S: Final = 10
 
 
@@ -44,24 +43,24 @@
     """How jobs ended, by their id.
 
     Attributes:
-        started: Abandoned jobs that may have started. There are few, so that
-            they can be retained for longer.
+        started: Jobs that have ended after they may have started.
     """
 
     def __init__(self, *, now_s: float) -> None:
         super().__init__(retention_s=RETENTION_S, now_s=now_s)
-        self.started: generations.Generations[values.JobId, bool] = (
-            generations.Generations(
-                retention_s=STARTED_RETENTION_S, now_s=now_s
-            )
+        self.started = id_filter.IdFilter(
+            retention_s=STARTED_RETENTION_S, now_s=now_s
         )
 
     def record(self, key: values.JobId, entry: Ending) -> None:
         """Record how a job ended."""
         super().record(key, entry)
         match entry:
-            case Abandoned(given_up=messages.GivenUp(may_have_started=True)):
-                self.started.record(key, entry=True)
+            case (
+                Complete()
+                | Abandoned(given_up=messages.GivenUp(may_have_started=True))
+            ):
+                self.started.record(key)
 
     def expire(self, now_s: float) -> None:
         """Drop the entries whose retention has ended."""
--- a/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -77,7 +77,7 @@
         arrived_s = sent_s - declared.age_ms / units.MS_PER_S
         if declared.redeclared and not self.state.closed.covers(arrived_s):
             return True
-        if self.state.closed.started.find(declared.job):
+        if self.state.closed.started.may_contain(declared.job):
             return True
         return declared.unconfirmed or self.has_reported_run(declared)
 
