Remember for 10 s which tasks were reported to a new allocator

Seen: a job that had started was answered 503 (`overloaded`, "not run") when its client sent it again 4 or 8 s after its owner, which was also the allocator, was killed.

Cause: the next allocator knew the job by the reports of workers alone, and dropped the reported ends after 3 s. The lack of a record was taken for proof that the job is new.

Change: tasks whose run or end is reported while no owner has declared them are recorded in a filter of their own, for 10 s at least; it replaces the look-up of the ends that are still retained.

Test: both rows of "A second attempt is not refused as not run <seconds> s after a worker reported the first one" failed before ("was reported as not run but has started").

--- a/features/pool/promises.feature
+++ b/features/pool/promises.feature
@@ -70,6 +70,23 @@
     Then the last job is answered
     And no invariant is violated
 
+  Scenario Outline: A second attempt is not refused as not run <seconds> s after a worker reported the first one
+    # The next allocator had forgotten the reported ends after 3 s.
+    When 2 s pass in the pool
+    And a job of 2 tasks of 300 ms is submitted at the allocator
+    And 0.1 s pass in the pool
+    And the allocator is killed
+    And <seconds> s pass in the pool in an overload
+    And the client sends the job again to another instance
+    And 6 s pass in the pool in an overload
+    Then the last job is answered
+    And no invariant is violated
+
+    Examples:
+      | seconds |
+      | 4       |
+      | 8       |
+
   Scenario: A second attempt at the same instance is not refused as not run without an allocator
     # The instance had forgotten the first attempt when its client disconnected.
     When 2 s pass in the pool
--- a/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
@@ -44,6 +44,9 @@
 
     Attributes:
         started: Jobs that have ended after they may have started.
+        reported: Tasks whose run or end was reported while no owner had
+            declared them: their jobs may be closed on the record of another
+            allocator.
     """
 
     def __init__(self, *, now_s: float) -> None:
@@ -51,6 +54,9 @@
         self.started = id_filter.IdFilter(
             retention_s=STARTED_RETENTION_S, now_s=now_s
         )
+        self.reported = id_filter.IdFilter(
+            retention_s=STARTED_RETENTION_S, now_s=now_s
+        )
 
     def record(self, key: values.JobId, entry: Ending) -> None:
         """Record how a job ended."""
@@ -66,3 +72,4 @@
         """Drop the entries whose retention has ended."""
         super().expire(now_s)
         self.started.expire(now_s)
+        self.reported.expire(now_s)
--- a/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -84,7 +84,7 @@
     def has_reported_run(self, declared: messages.Declare) -> bool:
         """Return whether a run of a task is or was reported by a worker."""
         return any(
-            task.name in self.state.early_ends
+            self.state.closed.reported.may_contain(task.name)
             or self.state.runs.last_number(task.name) is not None
             for task in declared.tasks
         )
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -177,6 +177,8 @@
         if task is not None:
             after = values.RunNumber(entry.number + 1)
             task.next_run = max(task.next_run, after)
+        if task is None:
+            self.state.closed.reported.record(entry.task)
         if task is None or task.worker is not None or task.done:
             self.state.runs.add_unclaimed(
                 worker_state, entry.task, entry.number
@@ -240,6 +242,7 @@
 
     def record_early_end(self, end: outcomes.ListedEnd, now_s: float) -> None:
         """Record the end of a task's latest run before its job is declared."""
+        self.state.closed.reported.record(end.task)
         known = self.state.early_ends.get(end.task)
         if known is None or known.number <= end.number:
             self.state.early_ends[end.task] = allocator_state.EarlyEnd(
