Look up the waiting tasks of a job by name

Since each task that is queued was compared with all waiting tasks of its job, so that the cost grew with the square of their number. The waiting tasks are now kept by name, in their order, and adding, finding and removing one does not depend on the others.

--- a/features/support/allocator_scenes.py
+++ b/features/support/allocator_scenes.py
@@ -143,7 +143,7 @@
         waiting_core_s = sum(
             task.need.cpu * task.estimate_s / values.CPU_MILLIS_PER_CORE
             for job in state.jobs.values()
-            for task in job.waiting
+            for task in job.waiting.values()
         )
         counted = state.pool('pool').backlog.core_s_ahead(LOWEST_URGENCY)
         assert abs(counted - waiting_core_s) < ROUNDING, counted
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
@@ -151,7 +151,7 @@
         """
         if task.job.closed or task.done or task.worker is not None:
             return
-        if task in task.job.waiting:
+        if task.name in task.job.waiting:
             return
         if not task.job.may_begin(task.step):
             task.job.held.append(task)
--- a/packages/guavaroad/src/guavaroad/domain/pool/backlog.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/backlog.py
@@ -89,7 +89,7 @@
         """
         job = task.job
         lane = self.lane_of(job)
-        job.waiting.append(task)
+        job.waiting[task.name] = task
         lane.core_s += _core_s(task)
         if job in self.queued:
             return
@@ -103,7 +103,7 @@
     def remove_task(self, task: work.Task) -> None:
         """Remove a task that has been placed."""
         job = task.job
-        job.waiting.remove(task)
+        job.waiting.pop(task.name)
         self.lane_of(job).core_s -= _core_s(task)
         if not job.waiting:
             self.queued.discard(job)
@@ -114,7 +114,7 @@
         The job itself leaves its lane when it reaches the head.
         """
         lane = self.lane_of(job)
-        for task in job.waiting:
+        for task in job.waiting.values():
             lane.core_s -= _core_s(task)
         job.waiting.clear()
         self.queued.discard(job)
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -120,7 +120,7 @@
             job.may_have_run_before = True
             after = values.RunNumber(declared_task.run + 1)
             task.next_run = max(task.next_run, after)
-            if task in job.waiting:
+            if task.name in job.waiting:
                 self.state.pool(job.pool).backlog.remove_task(task)
                 self.resume_declared(task, declared_task, now_s)
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
@@ -57,7 +57,7 @@
         starts = []
         reserved_cores = pool.reserve.cores_for(job.urgency)
         reserved_cpu = reserved_cores * values.CPU_MILLIS_PER_CORE
-        for task in tuple(job.waiting):
+        for task in tuple(job.waiting.values()):
             if pool.capacity.free_cpu - task.need.cpu < reserved_cpu:
                 break
             worker_state = pool.capacity.choose(task, now_s)
--- a/packages/guavaroad/src/guavaroad/domain/pool/work.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/work.py
@@ -66,7 +66,7 @@
         may_have_run_before: Whether tasks of it may have run before this
             allocator tracked it.
         tasks: Its tasks, by index.
-        waiting: Tasks that wait for a worker.
+        waiting: Tasks that wait for a worker, by name, in their order.
         open_tasks: Number of tasks that are not done.
         after: For each step, the steps that must be done before it.
         open_in_step: Number of tasks that are not done, for each step.
@@ -90,7 +90,9 @@
     may_have_started: bool = False
     may_have_run_before: bool = False
     tasks: tuple[Task, ...] = ()
-    waiting: list[Task] = dataclasses.field(default_factory=list)
+    waiting: dict[values.TaskName, Task] = dataclasses.field(
+        default_factory=dict
+    )
     open_tasks: int = 0
     after: tuple[tuple[int, ...], ...] = ((),)
     open_in_step: list[int] = dataclasses.field(default_factory=list)
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -183,7 +183,7 @@
             )
             return
         pool = self.state.pool(task.job.pool)
-        if task in task.job.waiting:
+        if task.name in task.job.waiting:
             pool.backlog.remove_task(task)
         task.job.may_have_started = True
         worker_state.lease.inherit(now_s)
@@ -259,7 +259,7 @@
             return
         if task.done or task.worker is not None:
             return
-        if task in task.job.waiting:
+        if task.name in task.job.waiting:
             self.state.pool(task.job.pool).backlog.remove_task(task)
         self.runs.record_end(task, end.kind, now_s)
 
