Ignore a late report of an incarnation that seems to be later

A worker had restarted after its clock was set back, so that its second start seemed to be earlier than its first.

A report counted as late only if its start was before the present one. Any other start in the answer to a poll that was sent before the present process was seen is an earlier one. If it should be a later one after all, the next poll shows that.

The new scenario failed before: two starts.

--- a/features/steps/restart_list_steps.py
+++ b/features/steps/restart_list_steps.py
@@ -4,23 +4,29 @@
 
 import behave
 
+from guavaroad.domain.pool import outcomes
 from guavaroad.ports import pool
 from guavaroad_standins import pool_worker
 from support import allocator_scenes
 
 MOMENT_S = 0.02
 INCARNATION_MS = 1000
+SET_BACK_MS = 60_000
 SMALL_CPU = 16_000
 
 
-def restart(context, job_id):
-    scene = context.scene
-    context.restarted = next(
+def number_of_worker(scene, job_id):
+    return next(
         number
         for number, _ in enumerate(scene.infos)
         for run in scene.worker(number).runs.values()
         if run.task.job.job_id == job_id
     )
+
+
+def restart(context, job_id):
+    scene = context.scene
+    context.restarted = number_of_worker(scene, job_id)
     worker_info = scene.infos[context.restarted]
     scene.infos[context.restarted] = dataclasses.replace(
         worker_info, started_ms=worker_info.started_ms + INCARNATION_MS
@@ -49,6 +55,47 @@
     scene.machine.update_workers(scene.infos, scene.now_s)
 
 
+@behave.when(
+    'every worker restarts after its clock was set back, while a poll waits'
+)
+def when_set_back(context):
+    scene = context.scene
+    second = scene.infos
+    scene.infos = [
+        dataclasses.replace(
+            worker_info, started_ms=worker_info.started_ms + SET_BACK_MS
+        )
+        for worker_info in second
+    ]
+    scene.machine.update_workers(scene.infos, scene.now_s)
+    scene.report_reached()
+    context.first = scene.infos
+    context.polled_s = scene.now_s
+    scene.infos = second
+    scene.now_s += MOMENT_S
+    scene.report_reached()
+
+
+@behave.when(
+    'the poll that waits at the worker of job "{name}" is answered by its first process'
+)
+def when_answered_late(context, name):
+    scene = context.scene
+    worker_info = context.first[number_of_worker(scene, name)]
+    scene.now_s += MOMENT_S
+    scene.machine.reports.record_report(
+        worker_id=worker_info.worker_id,
+        report=outcomes.RunReport(
+            clock_ms=int(scene.now_s * 1000),
+            started_ms=worker_info.started_ms,
+            running=(),
+            ended=(),
+        ),
+        sent_s=context.polled_s,
+        now_s=scene.now_s,
+    )
+
+
 @behave.when('that worker reports no run')
 def when_reports_none(context):
     scene = context.scene
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -119,13 +119,16 @@
     ) -> bool:
         """Return whether a report is from an earlier incarnation.
 
+        Clocks are set back between two starts, so that the earlier one may seem
+        to be later.
+
         Args:
             started_ms: Start of the incarnation that sent the report, in
                 milliseconds since 1970; 0 if unknown.
             sent_s: Time at which the status poll was sent, in seconds.
         """
         return (
-            0 < started_ms < self.worker_info.started_ms
+            started_ms not in {0, self.worker_info.started_ms}
             and sent_s <= self.incarnation_seen_s
         )
 
