Tell an owner that suspected losses of workers were cleared

A job whose workers had only been cut off was given up by the next allocator (504, too_late), its run was stopped, and the job was given up at once each time its client sent it again, for a minute or more.

The allocator cleared the losses when the workers answered again. Its owner still had the highest number that it had been told, and declared it to the next allocator, which counted these losses without a chance to clear them. In the first minute of an allocator two are enough.

The owner is now told what is left. The message is one about starts, without any, so that older builds ignore it. Losses of workers that are silent when the allocator changes still can't be cleared by the next one.

--- a/features/pool/crash_records.feature
+++ b/features/pool/crash_records.feature
@@ -12,6 +12,19 @@
     Then the job is not given up
     And no worker is on record as lost
 
+  Scenario: A task whose workers were cut off is not given up by the next allocator
+    # The owner declared losses that the allocator before had cleared. The job could
+    # not be run for a minute.
+    Given a pool of 3 instances in zones "a b c" with 12 workers
+    When 62 s pass in the pool
+    And a job of 1 task of 12 s is submitted by a client that waits 60 s
+    And the worker of the last start is cut off, 2 times in a row
+    And all workers can be reached again for 2 s
+    And the allocator is killed
+    And 4 s pass in the pool
+    Then the last job is not answered yet
+    And no invariant is violated
+
   Scenario: A task whose workers restart after its lease has lapsed is given up
     Given an allocator with 4 workers and a job of 1 task that has 60 s
     When the worker of the task is silent until its lease lapses, and restarts, 2 times
--- a/features/steps/crash_record_steps.py
+++ b/features/steps/crash_record_steps.py
@@ -1,5 +1,7 @@
 """Steps for the allocator's records of workers that were lost under a task."""
 
+import dataclasses
+
 import behave
 
 from guavaroad.domain.pool import (
@@ -19,6 +21,8 @@
 SILENCE_S = 3
 # Time within which a lease lapses.
 LAPSE_S = 1.5
+# Time until the task of a worker that was cut off runs on another one.
+MOVED_S = 1.6
 
 
 @behave.given(
@@ -173,3 +177,43 @@
     given_up = context.given_up[0]
     assert given_up.may_have_started, given_up
     assert given_up.reason is not values.GiveUpReason.ATTEMPTS_USED, given_up
+
+
+@behave.when(
+    'a job of 1 task of {work_s:g} s is submitted by a client that waits {seconds:g} s'
+)
+def when_submitted(context, work_s, seconds):
+    pool = context.pool
+    allocator_name = pool.allocator().name
+    owner = next(name for name in pool.instances if name != allocator_name)
+    request = dataclasses.replace(
+        pool.request(tasks=1, work_ms=int(work_s * 1000)),
+        client_timeout_ms=int(seconds * 1000),
+    )
+    pool.hand_in(owner, request)
+    pool.run(TICK_S)
+    context.last_job = request.job_id
+
+
+@behave.when(
+    'the worker of the last start is cut off, {count:d} times in a row'
+)
+def when_cut_off(context, count):
+    pool = context.pool
+    for _ in range(count):
+        _, _, worker_id = pool.history.starts[-1]
+        pool.cut_pairs.update((name, worker_id) for name in pool.instances)
+        pool.run(MOVED_S)
+        assert pool.history.starts[-1][-1] != worker_id
+
+
+@behave.when('all workers can be reached again for {seconds:g} s')
+def when_reached(context, seconds):
+    context.pool.cut_pairs.clear()
+    context.pool.run(seconds)
+
+
+@behave.then('the last job is not answered yet')
+def then_not_answered(context):
+    pool = context.pool
+    assert context.last_job not in pool.outcomes, pool.outcomes
--- a/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
@@ -3,6 +3,7 @@
 from guavaroad.domain.pool import (
     allocator_state,
     crash_records,
+    messages,
     run_tracker,
     values,
     worker,
@@ -103,8 +104,28 @@
         incarnation = present_incarnation(worker_state)
         for name in worker_state.lapsed_tasks:
             self.runs.crashes.clear(name, incarnation)
+            self.tell_cleared(name)
         worker_state.lapsed_tasks = set()
 
+    def tell_cleared(self, name: values.TaskName) -> None:
+        """Tell the owner of an open task how many losses are left.
+
+        It declares them to the next allocator.
+        """
+        task = self.state.tasks.get(name)
+        if task is None or task.done:
+            return
+        left = self.runs.crashes.find(name).losses()
+        self.state.notify_owner(
+            task.job,
+            messages.Begun(
+                job=task.job.job_id,
+                starts=(),
+                attempt=task.job.attempt,
+                losses=((task.index, left),),
+            ),
+        )
+
     def drop_reported(self, worker_state: worker.Worker) -> None:
         """Discard what a worker has reported about its runs."""
         self.state.runs.drop_unclaimed(worker_state)
--- a/packages/guavaroad/src/guavaroad/domain/pool/messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/messages.py
@@ -100,11 +100,14 @@
         job: Id of the job.
         starts: Index of the task, run number and worker of each start.
         attempt: Attempt that it is about; 0 if sent by an older build.
+        losses: Index of each task of which suspected losses of workers were
+            cleared, with the number that is left.
     """
 
     job: values.JobId
     starts: tuple[tuple[int, int, values.WorkerId], ...]
     attempt: values.AttemptNumber = values.ANY_ATTEMPT
+    losses: tuple[tuple[int, int], ...] = ()
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
@@ -226,6 +226,8 @@
             task = self.tasks[index]
             task.run = number
             task.worker = worker_id
+        for index, left in message.losses:
+            self.tasks[index].losses = left
 
     def start_of(self, launch: agent_messages.Launch) -> agent_messages.Start:
         """Return the order for a start that the allocator has decided."""
--- a/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
@@ -191,8 +191,11 @@
         match message:
             case messages.Begun():
                 job.record_starts(message)
+                event = 'started' if message.starts else 'losses_cleared'
                 job.record_event(
-                    'started', job.age_ms(self.timers.now()), message.starts
+                    event,
+                    job.age_ms(self.timers.now()),
+                    message.starts or message.losses,
                 )
             case messages.Ended():
                 self.record_end(job, message)
