Keep track of all open runs of a task

An owner's job was withdrawn while a worker had not answered the start of its task. A second owner declared the job with a run on another worker, which was tracked in place of the first one.

Runs were tracked by task, and only the latest of a task was kept. The earlier ones are kept now as well, and the task waits for the end of all of them.

The new scenario failed before, at the first "the task is not started".

--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -76,6 +76,20 @@
     Then the task is not started
     And an end of the task as done is sent to its owner
 
+  Scenario: A task is not started before the start for another owner can't be carried out
+    # The run that the second owner knew replaced that of the first one. When it was
+    # over, the task was started beside the start that a worker had not answered.
+    Given an allocator with 2 workers and a job of 1 task without a known run
+    When worker 0 reports no run
+    And the task is started on worker 0, which does not answer
+    And the owner withdraws its job
+    And another instance declares the job with a known run on worker 1
+    And worker 1 reports no run
+    Then the task is not started
+    When worker 0 is silent for 1.2 s
+    And worker 1 reports no run
+    Then run 2 of the task is started
+
   Scenario: A job is not refused as not run after another owner has declared a start of it
     Given an allocator with 2 workers and a job that waits while worker 1 is silent
     When another instance declares the job with a known run on worker 1
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -336,6 +336,21 @@
     report(context, number, ended=(end,))
 
 
+@behave.when('the task is started on worker {number:d}, which does not answer')
+def when_unanswered(context, number):
+    machine = context.machine
+    start = starts_in(decisions(machine, context.now_s))[0]
+    assert start.worker_id == f'w{number}', start
+    machine.runs.on_start_outcome(
+        worker_id=start.worker_id,
+        name=start.task,
+        number=start.number,
+        outcome=outcomes.NoAnswer(detail='no answer in time'),
+        now_s=context.now_s,
+    )
+    machine.pop_actions()
+
+
 @behave.when('the owner withdraws its job')
 def when_withdrawn(context):
     context.machine.job_admission.withdraw(OWNER, messages.Withdraw(job=JOB))
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
@@ -135,8 +135,7 @@
         run = worker_state.remove_run(name)
         if run is None:
             return False
-        if self.runs.tracked.get(name) is run:
-            self.runs.tracked.pop(name)
+        self.runs.untrack(run)
         self.update_capacity(worker_state)
         task = run.task
         if task.worker == worker_state.worker_info.worker_id:
@@ -194,7 +193,7 @@
     def add_run(self, worker_state: worker.Worker, run: worker.Run) -> None:
         """Reserve capacity on a worker for a run."""
         worker_state.add_run(run)
-        self.runs.tracked[run.task.name] = run
+        self.runs.track(run)
         run.task.worker = worker_state.worker_info.worker_id
         run.task.next_run = values.RunNumber(
             max(run.task.next_run, run.number + 1)
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_runs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_runs.py
@@ -7,7 +7,9 @@
     """Runs that hold capacity, and unclaimed runs that workers report.
 
     Attributes:
-        tracked: Runs that hold capacity on a worker, by task.
+        tracked: Latest run that holds capacity on a worker, by task.
+        earlier: Earlier ones by task, of a job that was declared again. There
+            are nearly always none.
         reporters: Workers that report unclaimed runs, by id. There are nearly
             always none.
         holders: Workers that report an unclaimed run of a task, by task and id.
@@ -15,11 +17,33 @@
 
     def __init__(self) -> None:
         self.tracked: dict[values.TaskName, worker.Run] = {}
+        self.earlier: dict[values.TaskName, list[worker.Run]] = {}
         self.reporters: dict[values.WorkerId, worker.Worker] = {}
         self.holders: dict[
             values.TaskName, dict[values.WorkerId, worker.Worker]
         ] = {}
 
+    def track(self, run: worker.Run) -> None:
+        """Add a run that holds capacity on a worker."""
+        name = run.task.name
+        previous = self.tracked.get(name)
+        if previous is not None:
+            self.earlier.setdefault(name, []).append(previous)
+        self.tracked[name] = run
+
+    def untrack(self, run: worker.Run) -> None:
+        """Remove a run that is over."""
+        name = run.task.name
+        earlier = self.earlier.pop(name, [])
+        if run in earlier:
+            earlier.remove(run)
+        elif earlier:
+            self.tracked[name] = earlier.pop()
+        else:
+            self.tracked.pop(name, None)
+        if earlier:
+            self.earlier[name] = earlier
+
     def last_number(self, name: values.TaskName) -> values.RunNumber | None:
         """Return the highest number of the open runs of a task."""
         numbers = [
@@ -29,6 +53,7 @@
         run = self.tracked.get(name)
         if run is not None:
             numbers.append(run.number)
+        numbers += [before.number for before in self.earlier.get(name, ())]
         return max(numbers, default=None)
 
     def add_unclaimed(
