Place tasks that were lost together on different workers

Jobs were shown as failed beside tasks that crash their workers, and others were given up with an unknown outcome. The tasks that were lost with a worker were queued in the same instant, and each chose the tightest gap: the same worker again. All of them were lost again with the one that crashes its workers, and had two crashes on record.

A worker that runs a task under which a worker was lost is now the last choice of the candidates for another such task.

The new scenario failed before: both tasks on worker 0.

--- a/features/pool/crash_records.feature
+++ b/features/pool/crash_records.feature
@@ -12,6 +12,16 @@
     Then the job is not given up
     And no worker is on record as lost
 
+  Scenario: Tasks that were lost with one worker are not placed together again
+    # They were queued in the same instant and chose the same gap, so that all tasks
+    # beside one that crashes its workers were lost with it twice, and failed.
+    Given an allocator with 3 workers of 32 cores
+    And jobs "1 2" of 1 task of 10 cores that run
+    And every worker has reported its runs
+    And job "2" runs beside job "1"
+    When the worker of job "1" has restarted by the platform's list
+    Then jobs "1" and "2" run on different workers
+
   Scenario: A task whose workers were cut off is not given up by the next allocator
     # The owner declared losses that the allocator before had cleared. The job could
     # not be run for a minute.
--- a/features/steps/restart_list_steps.py
+++ b/features/steps/restart_list_steps.py
@@ -116,6 +116,21 @@
     check_starts(context, 2)
 
 
+@behave.given('job "{second}" runs beside job "{first}"')
+def given_beside(context, second, first):
+    scene = context.scene
+    beside = number_of_worker(scene, second)
+    assert beside == number_of_worker(scene, first), beside
+
+
+@behave.then('jobs "{first}" and "{second}" run on different workers')
+def then_apart(context, first, second):
+    scene = context.scene
+    scene.run(MOMENT_S)
+    other = number_of_worker(scene, second)
+    assert other != number_of_worker(scene, first), other
+
+
 @behave.when(
     'a changed worker list reaches the allocator just after it has stopped'
 )
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -187,6 +187,8 @@
 
 def _preference(
     task: work.Task, worker_state: worker.Worker
-) -> tuple[bool, float]:
+) -> tuple[bool, bool, float]:
     has_refused = worker_state.worker_info.worker_id == task.refused_by
-    return has_refused, worker_state.health.run_time_ratio
+    # Tasks that were lost together would be lost together again.
+    is_suspected_too = bool(task.losses) and worker_state.has_suspect()
+    return has_refused, is_suspected_too, worker_state.health.run_time_ratio
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -244,6 +244,7 @@
     ) -> None:
         """Notify the owner of an end, and queue the task again if needed."""
         job = task.job
+        task.losses = self.crashes.find(task.name).losses()
         self.state.notify_owner(
             job,
             messages.Ended(
@@ -251,7 +252,7 @@
                 index=task.index,
                 kind=kind,
                 attempt=job.attempt,
-                losses=self.crashes.find(task.name).losses(),
+                losses=task.losses,
             ),
         )
         if kind is values.EndKind.DONE:
--- a/packages/guavaroad/src/guavaroad/domain/pool/work.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/work.py
@@ -25,6 +25,7 @@
         start_pause_s: Pause before it is queued again if its next start is
             refused, in seconds.
         refused_by: Worker of its last start, if that was refused.
+        losses: Number of workers that were lost while they ran it.
     """
 
     job: 'Job'
@@ -40,6 +41,7 @@
     constraint: constraints.Constraint = constraints.ANYWHERE
     start_pause_s: float = 0
     refused_by: values.WorkerId | None = None
+    losses: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -136,6 +136,10 @@
         """Return whether it may have any run."""
         return bool(self.runs or self.unclaimed_runs)
 
+    def has_suspect(self) -> bool:
+        """Return whether it runs a task that may have crashed a worker."""
+        return any(run.task.losses for run in self.runs.values())
+
     def may_extend_lease(self) -> bool:
         """Return whether the lease of the worker's runs may be extended.
 
