Carry out no starts that have waited in a pause of an owner or agent

The start waited in the connection of the paused process, which sent it when it continued. Its lease was over, and a worker refuses it then; but not one that has restarted, whose clock shows less than the end of the lease. The stop that the allocator had sent was lost with the earlier process of the worker, and the allocator had started the task elsewhere.

An instance that has heard nothing of the allocator for the length of a lease rejects the starts that arrive next, as an owner and as an agent, and closes the link. The allocator has given it up by then. Messages about jobs are still read: a result that had arrived in the pause would be lost otherwise, and the job would run again.

--- a/packages/guavaroad/src/guavaroad/services/pool/allocator_follower.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/allocator_follower.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 from guavaroad.domain import units
 from guavaroad.domain.pool import (
@@ -21,6 +21,10 @@
     worker_agent,
 )
 
+# Longest time without a message of the allocator after which the next ones may
+# order starts, in seconds: a lease. It gives this instance up before that.
+MAX_SILENCE_S: Final = 2 * election.ALLOCATOR_TIMEOUT_S
+
 
 class AllocatorFollower:
     """The link from this instance to the allocator.
@@ -82,6 +86,7 @@
                 link.send(self.poll_answer())
                 self.on_poll()
             case agent_messages.StartRuns():
+                self.check_pause()
                 link.send(
                     agent_messages.StartsReceived(
                         sequence=message.sequence,
@@ -89,6 +94,7 @@
                     )
                 )
             case _ if link is self.link:
+                self.check_pause()
                 self.last_received_s = self.timers.now()
                 self.receive_from_allocator(link, message)
 
@@ -165,7 +171,9 @@
             case messages.Begun() | messages.Ended() | messages.GivenUp():
                 self.job_owner.receive(message)
             case agent_messages.LaunchRuns():
-                self.job_launcher.launch(message)
+                self.job_launcher.launch(
+                    message, is_outdated=self.is_outdated()
+                )
             case agent_messages.LaunchMode():
                 self.job_owner.launches = message.owners_launch
             case _:
@@ -181,10 +189,18 @@
             < election.ALLOCATOR_TIMEOUT_S
         )
 
+    def is_outdated(self) -> bool:
+        """Return whether the link orders nothing any more, after a pause."""
+        return self.link is not None and self.worker_agent.session is None
+
     def drop_unresponsive(self) -> None:
-        """Close the link to an allocator that has timed out."""
+        """Close the link to an allocator that has timed out.
+
+        An outdated link is closed as well, once its messages were read.
+        """
         on_time = self.stall_guard.is_on_time(self.timers.now())
-        if on_time and self.link is not None and not self.is_allocator_alive():
+        is_over = self.is_outdated() or not self.is_allocator_alive()
+        if on_time and self.link is not None and is_over:
             self.decision_log.log_event(
                 'allocator_silent',
                 token=self.term.token,
@@ -195,6 +211,16 @@
             self.record_link_loss(link)
             link.abort()
 
+    def check_pause(self) -> None:
+        """Carry out no orders that have arrived in a long pause.
+
+        Their leases are over. A worker that has restarted since would carry
+        them out all the same, as its clock has started anew. Messages about
+        jobs are still true.
+        """
+        if self.timers.now() - self.last_received_s > MAX_SILENCE_S:
+            self.worker_agent.unfollow()
+
     def record_link_loss(self, link: instance_links.LinkPort) -> None:
         """Record that the link to the allocator is lost."""
         if link is not self.link:
--- a/packages/guavaroad/src/guavaroad/services/pool/job_launcher.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_launcher.py
@@ -18,10 +18,18 @@
         self.job_owner = owner
         self.run_starter = starter
 
-    def launch(self, message: agent_messages.LaunchRuns) -> None:
-        """Send the start orders of a job."""
+    def launch(
+        self, message: agent_messages.LaunchRuns, *, is_outdated: bool
+    ) -> None:
+        """Send the start orders of a job.
+
+        Args:
+            message: The starts.
+            is_outdated: Whether they have waited in a pause of this process,
+                and are rejected.
+        """
         job = self.job_owner.attempts.find(message)
-        if job is None:
+        if job is None or is_outdated:
             calls = tuple(launch.call for launch in message.launches)
             self.reject(calls, is_job_open=False)
             return
