--- a/packages/guavaroad/src/guavaroad/domain/pool/work.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/work.py
@@ -25,6 +25,7 @@
         start_pause_s: Pause before it is queued again if its next start is
             refused, in seconds.
         refused_by: Worker of its last start, if that was refused.
+        losses: Number of workers that were lost while they ran it.
     """
 
     job: 'Job'
@@ -40,6 +41,7 @@
     constraint: constraints.Constraint = constraints.ANYWHERE
     start_pause_s: float = 0
     refused_by: values.WorkerId | None = None
+    losses: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -66,7 +68,7 @@
         may_have_run_before: Whether tasks of it may have run before this
             allocator tracked it.
         tasks: Its tasks, by index.
-        waiting: Tasks that wait for a worker.
+        waiting: Tasks that wait for a worker, by name, in their order.
         open_tasks: Number of tasks that are not done.
         after: For each step, the steps that must be done before it.
         open_in_step: Number of tasks that are not done, for each step.
@@ -90,7 +92,9 @@
     may_have_started: bool = False
     may_have_run_before: bool = False
     tasks: tuple[Task, ...] = ()
-    waiting: list[Task] = dataclasses.field(default_factory=list)
+    waiting: dict[values.TaskName, Task] = dataclasses.field(
+        default_factory=dict
+    )
     open_tasks: int = 0
     after: tuple[tuple[int, ...], ...] = ((),)
     open_in_step: list[int] = dataclasses.field(default_factory=list)
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -119,13 +119,16 @@
     ) -> bool:
         """Return whether a report is from an earlier incarnation.
 
+        Clocks are set back between two starts, so that the earlier one may seem
+        to be later.
+
         Args:
             started_ms: Start of the incarnation that sent the report, in
                 milliseconds since 1970; 0 if unknown.
             sent_s: Time at which the status poll was sent, in seconds.
         """
         return (
-            0 < started_ms < self.worker_info.started_ms
+            started_ms not in {0, self.worker_info.started_ms}
             and sent_s <= self.incarnation_seen_s
         )
 
@@ -133,6 +136,10 @@
         """Return whether it may have any run."""
         return bool(self.runs or self.unclaimed_runs)
 
+    def has_suspect(self) -> bool:
+        """Return whether it runs a task that may have crashed a worker."""
+        return any(run.task.losses for run in self.runs.values())
+
     def may_extend_lease(self) -> bool:
         """Return whether the lease of the worker's runs may be extended.
 
