Take a 503 without a configuration for no sign of service in the soak

Cause: the check, not the product. version_violations took each answer but 404 and a lost one for a sign that the process had served the queue. A process without a configuration answers every request 503 "no configuration", whether or not the queue will exist in the first one that it gets.

The check now leaves out an answer with status 503 whose body is exactly {"Reason": "no configuration"}. Every other answer counts as before: another reason, another status with this reason, another body, a body that is no JSON. A configuration that is applied late is reported as before, too.

--- /dev/null
+++ b/features/steps/soak_check_steps.py
@@ -0,0 +1,71 @@
+"""Steps of the soak's checks on made-up observations."""
+
+import behave
+
+from support import platform_fleet, soak_checks
+
+JOB_ID = '0000000000000001'
+QUEUE = 'c'
+RESPONSE_S = 0.01
+
+
+def observe(context, *, status, body, sent_s):
+    """Record an answer of the one process to a request for the queue."""
+    context.answers = [
+        *getattr(context, 'answers', ()),
+        platform_fleet.Answer(
+            job_id=JOB_ID,
+            path=f'/{QUEUE}/{JOB_ID}',
+            tasks=1,
+            status=status,
+            body=body,
+            process='i0',
+            incarnation=1,
+            sent_s=sent_s,
+            ended_s=sent_s + RESPONSE_S,
+        ),
+    ]
+
+
+@behave.given('a client of a queue got status {status:d} with the body {body}')
+def given_answer(context, status, body):
+    observe(context, status=status, body=body.encode(), sent_s=0)
+
+
+@behave.when('the same process answers 404 {delay_s:g} s later')
+def when_not_found(context, delay_s):
+    observe(
+        context,
+        status=404,
+        body=b'{"Reason":"no such queue"}',
+        sent_s=RESPONSE_S + delay_s,
+    )
+
+
+def found_by_version_check(context):
+    """Return the violations of the check, called as for a real run."""
+    observed = soak_checks.Observations(
+        answers=context.answers,
+        state={'starts': [], 'done': [], 'broken': [], 'late_starts': []},
+        disruptions=[],
+        stops=[],
+        versions={QUEUE: 0},
+    )
+    return [
+        found
+        for found in soak_checks.violations(observed)
+        if QUEUE in found.split()
+    ]
+
+
+@behave.then('the check reports no violation')
+def then_no_violation(context):
+    found = found_by_version_check(context)
+    assert not found, found
+
+
+@behave.then('the check reports "{violation}"')
+def then_violation(context, violation):
+    found = found_by_version_check(context)
+    assert len(found) == 1, found
+    assert violation in found[0], found
--- a/features/support/soak_checks.py
+++ b/features/support/soak_checks.py
@@ -8,6 +8,8 @@
 # Statuses that a client may get; 0 if there was no response, as from a process
 # that was killed.
 STATUSES = frozenset((0, 200, 404, 503, 504))
+# Reason of the 503 of a process that serves no queue yet.
+NO_CONFIGURATION = 'no configuration'
 COMPLETED = 'completed'
 STATES = frozenset((COMPLETED, 'failed'))
 # Limits that the platform documents, in seconds.
@@ -154,7 +156,19 @@
         answer.process,
         answer.incarnation,
     )
-    return is_same and other.status not in {0, 404}
+    is_refused = other.status in {0, 404} or had_no_configuration(other)
+    return is_same and not is_refused
+
+
+def had_no_configuration(answer):
+    """Return whether a process answered that it has no configuration yet."""
+    if answer.status != 503:
+        return False
+    try:
+        body = json.loads(answer.body)
+    except ValueError:
+        return False
+    return body == {'Reason': NO_CONFIGURATION}
 
 
 def dropped_by_stops(observed, started):
