Wait for a prevented start by its outcome, not by the first answer to a cancel

Cause: the step, not the product. It waited until a cancel was answered CANCELLED before it released the upstreams, but sent each cancel once. A cancel is answered CANCEL_TAKEN ("look the submission up") not only if a task runs, but also if the submission is recorded and its `queued` record or its claim is being written: the end is then told once its row is committed. If each submission has a running task or a write in progress when its cancel arrives, all 40 answers are CANCEL_TAKEN. The end of those that were still queued is CANCELLED soon after, but the step did not look.

The step now looks up the submissions whose cancel was answered CANCEL_TAKEN. The upstreams have 16 slots and hold their tasks, so at most 16 submissions can have started, and the others end CANCELLED however fast the machine is, as long as the platform commits their ends. The checks stay, and there are more: a cancel answered CANCELLED must agree with the outcome of its submission; 5 submissions that are not cancelled must be COMPLETE with all answers (before, no run needed to have a COMPLETE one); a cancel after the end must get the same answer, so that CANCELLED occurs as an answer to a cancel in each run.

--- a/features/ownership/faults.feature
+++ b/features/ownership/faults.feature
@@ -46,9 +46,11 @@
 
   Scenario: Submissions that are cancelled while they start get a true answer
     Given the upstreams hold tasks at the answer
-    When 40 submissions are cancelled while they start
+    When 40 submissions are cancelled while they and 5 others start
     Then every submission that is answered CANCELLED started nothing
     And every submission that is answered COMPLETE has all its answers
+    And every submission that was not cancelled is answered COMPLETE
+    And a cancel after the end gets the same answer
     And no task of the fleet started twice
 
   Scenario: A cancel that arrives before its submission prevents the run
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -391,63 +391,98 @@
     ).decoded()
 
 
-@behave.when('{count:d} submissions are cancelled while they start')
-def when_cancel_wave(context, count):
+def look_up(address, key):
+    return calls.call(
+        'GET',
+        address,
+        f'/v1/submissions/{key}',
+        headers=headers_of('office'),
+    ).decoded()
+
+
+@behave.when(
+    '{count:d} submissions are cancelled while they and {others:d} others start'
+)
+def when_cancel_wave(context, count, others):
     first, second = instance_addresses(context)
-    keys = mint(first, count)
-    rng = random.Random(4)
-    preferences = [rng.choice(('', 'respond-async')) for _ in keys]
-    with futures.ThreadPoolExecutor(2 * count) as pool:
-        submissions = [
-            pool.submit(post, first, key, Prefer=preference)
-            for key, preference in zip(keys, preferences, strict=True)
-        ]
-        cancellations = [pool.submit(cancel, second, key) for key in keys]
+    keys = mint(first, count + others)
+    context.uncancelled = keys[count:]
+    with futures.ThreadPoolExecutor(2 * len(keys)) as pool:
+        submissions = submit_all(pool, first, keys)
+        cancellations = {
+            key: pool.submit(cancel, second, key) for key in keys[:count]
+        }
         # Holding the first tasks leaves later submissions in the queue, where
         # a cancel can still prevent their start.
-        wait_for_prevented_start(cancellations)
+        wait_for_prevented_start(second, cancellations)
         when_released(context)
-        futures.wait([*submissions, *cancellations])
-    context.ended = {}
-    for key in keys:
-        processes.wait_until(
-            functools.partial(has_ended, context, key), 'the end'
+        futures.wait([*submissions, *cancellations.values()])
+    context.cancels = {
+        key: pending.result() for key, pending in cancellations.items()
+    }
+    context.ended = {key: wait_for_end(context, key) for key in keys}
+
+
+def submit_all(pool, address, keys):
+    rng = random.Random(4)
+    return [
+        pool.submit(
+            post, address, key, Prefer=rng.choice(('', 'respond-async'))
         )
-        context.ended[key] = context.last
+        for key in keys
+    ]
 
 
-def wait_for_prevented_start(cancellations):
+def wait_for_prevented_start(address, cancellations):
     try:
         processes.wait_until(
-            lambda: any(map(has_prevented_start, cancellations)),
+            lambda: any(
+                has_prevented_start(address, key, cancellation)
+                for key, cancellation in cancellations.items()
+            ),
             'a cancel of a queued submission',
         )
     except processes.ConditionTimeoutError as error:
         answers = [
-            cancellation.result()
-            for cancellation in cancellations
+            (cancellation.result(), look_up(address, key))
+            for key, cancellation in cancellations.items()
             if cancellation.done()
         ]
         raise AssertionError(answers) from error
 
 
-def has_prevented_start(cancellation):
-    return cancellation.done() and cancellation.result()['name'] == 'CANCELLED'
+def has_prevented_start(address, key, cancellation):
+    if not cancellation.done():
+        return False
+    answer = cancellation.result()
+    if answer['name'] == 'CANCEL_TAKEN':
+        # The end of a recorded submission is known once it is written.
+        answer = look_up(address, key)
+    return answer['name'] == 'CANCELLED'
+
+
+def wait_for_end(context, key):
+    processes.wait_until(functools.partial(has_ended, context, key), 'the end')
+    return context.last
 
 
 def has_ended(context, key):
     return result_name(context, 1, key) != 'PENDING'
 
 
+def keys_named(answers, name):
+    return {key for key, answer in answers.items() if answer['name'] == name}
+
+
 @behave.then('every submission that is answered CANCELLED started nothing')
 def then_cancelled_not_started(context):
     started = {task.partition('/')[0] for task in context.fleet.starts()}
-    cancelled = {
-        key
-        for key, answer in context.ended.items()
-        if answer['name'] == 'CANCELLED'
-    }
+    cancelled = keys_named(context.ended, 'CANCELLED')
     assert cancelled, context.ended
+    assert keys_named(context.cancels, 'CANCELLED') <= cancelled, (
+        context.cancels,
+        context.ended,
+    )
     assert not cancelled & started
 
 
@@ -460,6 +495,20 @@
             assert len(answer['answers']) == 3, answer
 
 
+@behave.then('every submission that was not cancelled is answered COMPLETE')
+def then_others_complete(context):
+    complete = keys_named(context.ended, 'COMPLETE')
+    assert complete.issuperset(context.uncancelled), context.ended
+
+
+@behave.then('a cancel after the end gets the same answer')
+def then_same_after_end(context):
+    second = instance_addresses(context)[1]
+    for key, answer in context.ended.items():
+        late = cancel(second, key)
+        assert late['name'] == answer['name'], (late, answer)
+
+
 @behave.when('an unused id is cancelled at the second instance')
 def when_unused_cancelled(context):
     first, second = instance_addresses(context)
