Let tasks crash the workers of the stand-in platform

The control port marks the first task of the jobs whose ids end in a digit as deadly: the worker that starts it crashes 5 ms later, resets its connections, and is back under its id after a given time. The stand-in reports when each start was, which tasks ran on a worker that crashed, and how often runs of a task have failed.

--- a/features/support/platform_standin.py
+++ b/features/support/platform_standin.py
@@ -24,6 +24,9 @@
 TASK_CPU_MILLIS = 14_000
 # Seconds after which a draining worker must get no more work.
 DRAIN_LIMIT_S = 2
+# Time from the start of a deadly task to the crash, in seconds.
+CRASH_DELAY_S = 0.005
+LEASE_MS = 1000
 # Clock rate of each third worker: the slowest that the platform allows.
 SLOW_CLOCK_RATE = 0.98
 REASONS = types.MappingProxyType(
@@ -186,11 +189,33 @@
         self.respond(request, 200, {'ApiVersion': self.version, 'NowMs': 0})
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DeadlyTasks:
+    """Tasks that crash the workers that start them.
+
+    Attributes:
+        digit: Last digit of the ids of their jobs; empty for none.
+        restart_s: Time until a crashed worker is back, in seconds.
+        repeats: Whether the worker then starts the task again by itself, which
+            violates the guarantees.
+    """
+
+    digit: str = ''
+    restart_s: float = 0
+    repeats: bool = False
+
+    def includes(self, task):
+        """Return whether a task is deadly: the first one of such a job."""
+        job, _, index = task.partition('.')
+        return bool(self.digit) and job[-1] == self.digit and index == '0.0.0'
+
+
 class WorkerServer:
     """HTTP server of one worker.
 
     Attributes:
         entry: Entry of the worker in the store.
+        listener: Accepts its connections.
         is_unresponsive: Whether requests get no response.
         twin: Another worker that starts the same tasks, which violates the
             guarantees.
@@ -200,11 +225,15 @@
         self.sim_worker = sim_worker
         self.history = history
         self.entry = entry
+        self.listener = None
         self.is_unresponsive = False
         self.twin = None
 
     def handle_request(self, request):
         """Handle an order or a status poll."""
+        if not self.sim_worker.is_up:
+            request.connection.transport.abortConnection()
+            return
         if self.is_unresponsive:
             return
         body = json.loads(request.body)
@@ -248,6 +277,12 @@
             return
         self.answer(request, outcome)
 
+    def crash(self):
+        """Crash the worker and reset its connections."""
+        self.sim_worker.crash()
+        for connection in tuple(self.listener.connections):
+            connection.transport.abortConnection()
+
     def record_late_start(self, task):
         """Record a start too long after the start of the drain."""
         name = self.sim_worker.worker_info.worker_id
@@ -288,28 +323,38 @@
 
 
 class Standin:
-    """The store, the workers and the control port."""
+    """The store, the workers and the control port.
+
+    Attributes:
+        started_s: Time of every start.
+        deadly: Tasks that crash the workers that start them.
+    """
 
     def __init__(self, *, workers, zones):
         self.timers = reactor_timers.ReactorTimers(clock=reactor)
         self.history = pool_worker.RunHistory()
+        self.history.on_start = self.on_start
         self.started_s = []
+        self.deadly = DeadlyTasks()
         self.store = Store()
         self.worker_servers = {}
         self.ports = []
-        self.listen(self.store.handle_request)
-        self.listen(self.control)
+        self.listen(self.new_listener(self.store.handle_request))
+        self.listen(self.new_listener(self.control))
         for number in range(workers):
             zone = zones[number % len(zones)]
             self.add_worker(number, zone)
 
-    def listen(self, handler):
-        """Listen on a free port."""
-        listener = http_listener.HttpListener(
+    def new_listener(self, handler):
+        """Return a listener that passes requests to a handler."""
+        return http_listener.HttpListener(
             handler=handler,
             bounds=http_listener.Bounds(idle_timeout_s=3600),
             timer_service=self.timers,
         )
+
+    def listen(self, listener):
+        """Listen on a free port."""
         port = reactor.listenTCP(0, listener, interface=HOST)
         self.ports.append(port.getHost().port)
         return self.ports[-1]
@@ -325,7 +370,8 @@
         server = WorkerServer(
             sim_worker=sim_worker, history=self.history, entry={}
         )
-        port = self.listen(server.handle_request)
+        server.listener = self.new_listener(server.handle_request)
+        port = self.listen(server.listener)
         server.entry = entry_of(worker_info, port)
         self.worker_servers[worker_info.worker_id] = server
         self.write_entry(server)
@@ -350,6 +396,39 @@
         server.sim_worker.faults = faults
         self.write_entry(server, born=started_ms)
 
+    def on_start(self, task):
+        """Record the time of a start; crash the worker if it is deadly."""
+        self.started_s.append(time.monotonic())
+        if self.deadly.includes(task):
+            server = self.worker_servers[self.history.starts[-1][-1]]
+            reactor.callLater(
+                CRASH_DELAY_S, self.crash_worker, server, task, self.deadly
+            )
+
+    def crash_worker(self, server, task, deadly):
+        """Crash the worker that runs a deadly task; restart it later."""
+        if task in server.sim_worker.running:
+            server.crash()
+            reactor.callLater(
+                deadly.restart_s, self.revive_worker, server, task, deadly
+            )
+
+    def revive_worker(self, server, task, deadly):
+        """Restart a crashed worker, unless it is back already."""
+        if server.sim_worker.is_up:
+            return
+        self.restart_worker(server)
+        if deadly.repeats:
+            until_ms = server.sim_worker.clock_ms() + LEASE_MS
+            order = pool.StartOrder(
+                task=task,
+                number=1,
+                payload='',
+                until_ms=until_ms,
+                token=values.Token(0),
+            )
+            server.sim_worker.start(order)
+
     def drain_worker(self, server, *, is_announced=True):
         """Drain a worker, with or without an update of its entry."""
         self.history.draining[server.sim_worker.worker_info.worker_id] = (
@@ -366,16 +445,18 @@
 
     def control(self, request):
         """Handle a request to the control port."""
-        command = json.loads(request.body) if request.body else None
-        respond(request, 200, self.execute(request.path, command) or {})
+        match request.path:
+            case '/state':
+                respond(request, 200, self.state())
+            case '/workers':
+                respond(request, 200, self.worker_ports())
+            case _:
+                self.execute(request.path, json.loads(request.body))
+                respond(request, 200, {})
 
     def execute(self, path, command):
-        """Execute a control command; return the result, if there is one."""
+        """Execute a control command."""
         match path:
-            case '/state':
-                return self.state()
-            case '/workers':
-                return self.worker_ports()
             case '/store':
                 self.store.change(**command)
             case '/address':
@@ -386,15 +467,19 @@
             case '/entry':
                 name = f'strange-{self.store.version}'
                 self.store.put_json('servers', name, command)
+            case '/deadly':
+                self.deadly = DeadlyTasks(**command)
             case '/worker':
                 self.change_worker(command)
-        return None
 
     def state(self):
         """Return what the workers have received, and the violations."""
         return {
             'starts': self.history.starts,
+            'started_s': self.started_s,
             'done': sorted(self.history.done),
+            'failures': self.history.failures,
+            'crashes': self.history.crashes,
             'late_starts': self.history.late_starts,
             'broken': self.history.violations,
             'writes': self.store.writes,
--- a/standins/src/guavaroad_standins/pool_worker.py
+++ b/standins/src/guavaroad_standins/pool_worker.py
@@ -69,6 +69,9 @@
         cpu: CPU need of each task, by name.
         work_s: Run time of each task in seconds, by name.
         done: Tasks that have completed.
+        failures: Number of failed runs of each task.
+        crashes: Tasks that ran on a worker when it crashed, each with the
+            number of starts before.
         draining: Time at which a worker began to drain, by id.
         late_starts: Starts too long after the begin of a drain: worker, task,
             begin of the drain, start.
@@ -81,6 +84,10 @@
     cpu: dict[str, int] = dataclasses.field(default_factory=dict)
     work_s: dict[str, float] = dataclasses.field(default_factory=dict)
     done: set[str] = dataclasses.field(default_factory=set)
+    failures: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    crashes: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     draining: dict[str, float] = dataclasses.field(default_factory=dict)
     late_starts: list[tuple[str, str, float, float]] = dataclasses.field(
         default_factory=list
@@ -229,6 +236,8 @@
         self.history.running[task] -= 1
         if kind is values.EndKind.DONE:
             self.history.done.add(task)
+        elif kind is values.EndKind.FAILED:
+            self.history.failures[task] += 1
         self.position += 1
         self.stopped[task] = max(number, self.stopped.get(task, number))
         self.ended.append(
@@ -325,6 +334,7 @@
         """Stop the worker and lose its runs and reports."""
         for task, run in self.running.items():
             self.history.running[task] -= 1
+            self.history.crashes.append((task, len(self.history.starts)))
             if run.timer.active():
                 run.timer.cancel()
         self.running = {}
