Draw deadly tasks in the soak, and let clients send jobs again

The soak had neither tasks that crash each worker that starts them nor clients that send a job again. Both are options of a run (make soak DEADLY=1 RESENDS=3), so that the existing seeds draw the faults that they drew before. Clients send a job again with the same id after no response, 502 or 504, 1.3 s later, at a random instance on a new connection.

New checks: a task under which three workers have crashed isn't started three times more; a job is shown as failed only if one of its tasks has failed MaxAttempts times, or two workers have crashed while they ran it. Whether a request that a planned stop has dropped had started is now asked for its own attempt; for jobs that were sent once that is the same as before. An answer of "not run" for a job of which any attempt has started stays a violation.

--- a/Makefile
+++ b/Makefile
@@ -65,13 +65,15 @@
 	rm -rf $(VENV) build
 
 # One seed (SEED=7), or many from the first on (SEEDS=50 FIRST=100), of the usual
-# size or another (INSTANCES=60 WORKERS=150), or with worker agents (LINK_MBPS=1).
+# size or another (INSTANCES=60 WORKERS=150), or with worker agents (LINK_MBPS=1);
+# with tasks that crash workers (DEADLY=1), and clients that send again (RESENDS=3).
 FIRST ?= 1
 INSTANCES ?= 4
 WORKERS ?= 9
 LINK_MBPS ?= 100
+RESENDS ?= 0
 soak: setup
-	$(BIN)/python tools/soak.py --instances=$(INSTANCES) --workers=$(WORKERS) --link_mbps=$(LINK_MBPS) $(or $(SEED),$(shell seq $(FIRST) $$(($(FIRST) + $(or $(SEEDS),3) - 1))))
+	$(BIN)/python tools/soak.py --instances=$(INSTANCES) --workers=$(WORKERS) --link_mbps=$(LINK_MBPS) --resends=$(RESENDS) $(if $(DEADLY),--deadly) $(or $(SEED),$(shell seq $(FIRST) $$(($(FIRST) + $(or $(SEEDS),3) - 1))))
 
 # Tables and plots of the bench's journal, in docs/scores.
 report: setup
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -28,15 +28,18 @@
     Then a soak with <violation> reports the violation
 
     Examples:
-      | violation                             |
-      | a start executed twice                |
-      | workers that overstate their capacity |
-      | executed jobs reported as not run     |
-      | failed jobs reported as completed     |
-      | an undefined job state                |
-      | delayed responses                     |
-      | a queue that disappears               |
-      | a configuration applied late          |
-      | workers that leave unannounced        |
-      | a stop that drops requests            |
-      | an undocumented status                |
+      | violation                                |
+      | a start executed twice                   |
+      | workers that overstate their capacity    |
+      | executed jobs reported as not run        |
+      | failed jobs reported as completed        |
+      | an undefined job state                   |
+      | delayed responses                        |
+      | a queue that disappears                  |
+      | a configuration applied late             |
+      | workers that leave unannounced           |
+      | a stop that drops requests               |
+      | an undocumented status                   |
+      | a task started after each crash          |
+      | completed jobs reported as failed        |
+      | jobs reported as not run when sent again |
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import select
 import signal
 import subprocess
@@ -45,6 +46,10 @@
 SMALL_LINK_MBPS = 1
 # Concurrent clients. The clients of two suspended processes wait for 10 s each.
 MAX_CLIENTS = 200
+# A client sends a job again so long after one of these statuses; 0 stands for
+# no response.
+RESEND_DELAY_S = 1.3
+RESENT_STATUSES = frozenset((0, 502, 504))
 METRICS_PORT = 19105
 METRICS_PORT_VARIABLE = 'GUAVAROAD_METRICS_PORT'
 PEER_ADDRESS_VARIABLE = 'GUAVAROAD_PEER_ADDRESS'
@@ -82,6 +87,7 @@
         job_id: Id of the job.
         path: Path of the request.
         tasks: Number of tasks of the job.
+        attempt: How often the client has sent the job, with this time.
         status: HTTP status; 0 if there was no complete response.
         body: Body, or the error if there was no response.
         process: Name of the process that it was sent to.
@@ -93,6 +99,7 @@
     job_id: str
     path: str
     tasks: int
+    attempt: int
     status: int
     body: bytes
     process: str
@@ -199,9 +206,9 @@
     return f'{address[0]}:{address[1]}'
 
 
-def open_connection(process):
-    """Return an idle connection to a process, or a new one."""
-    while process.connections:
+def open_connection(process, *, is_new=False):
+    """Return a new connection to a process, or an idle one unless `is_new`."""
+    while process.connections and not is_new:
         connection = process.connections.pop()
         # `poll` supports file descriptors above 1023, unlike `select`.
         ready = select.poll()
@@ -222,6 +229,7 @@
         answers: Responses that clients got.
         submissions: Futures of the submitted jobs.
         submitted_count: Number of submitted jobs.
+        resends: How often clients send a job again that has no result.
     """
 
     def __init__(
@@ -268,6 +276,9 @@
         self.answers = []
         self.submissions = []
         self.submitted_count = 0
+        self.resends = 0
+        # Separate from the faults, which a seed draws in a fixed order.
+        self.resend_random = random.Random(0)
 
     def route_workers(self):
         """Add routes through the proxy to the workers."""
@@ -324,13 +335,26 @@
         return submission
 
     def send_job(self, process, job_id, path, tasks, work_ms):
-        """Send a job, and record the response."""
+        """Send a job, again while it has no result; return the last status."""
+        status = self.send_attempt(process, job_id, path, tasks, work_ms)
+        for attempt in range(2, self.resends + 2):
+            if status not in RESENT_STATUSES:
+                break
+            time.sleep(RESEND_DELAY_S)
+            process = self.resend_random.choice(self.live_processes())
+            status = self.send_attempt(
+                process, job_id, path, tasks, work_ms, attempt=attempt
+            )
+        return status
+
+    def send_attempt(self, process, job_id, path, tasks, work_ms, *, attempt=1):
+        """Send a job once, and record the response."""
         document = platform_requests.valid_job(
             TaskSpec=str(work_ms),
             Steps=[{'Count': tasks, 'Cpu': 14_000, 'EstimateMs': work_ms}],
         )
         incarnation = process.incarnation
-        connection = open_connection(process)
+        connection = open_connection(process, is_new=attempt > 1)
         sent_s = time.monotonic()
         try:
             connection.request(
@@ -350,6 +374,7 @@
                 job_id=job_id,
                 path=path,
                 tasks=tasks,
+                attempt=attempt,
                 status=status,
                 body=body,
                 process=process.name,
@@ -364,17 +389,21 @@
         """Submit jobs at a constant rate to the live processes in turn."""
         ended_s = time.monotonic() + seconds
         while time.monotonic() < ended_s:
-            live_processes = [
-                process
-                for process in self.processes
-                if process.child.poll() is None
-            ]
+            live_processes = self.live_processes()
             self.submit(
                 live_processes[self.submitted_count % len(live_processes)],
                 **job,
             )
             time.sleep(1 / per_s)
 
+    def live_processes(self):
+        """Return the processes that run."""
+        return [
+            process
+            for process in self.processes
+            if process.child.poll() is None
+        ]
+
     def starts(self):
         """Return the number of starts that the workers have received."""
         return len(self.control('/state')['starts'])
--- a/features/support/platform_requests.py
+++ b/features/support/platform_requests.py
@@ -3,6 +3,7 @@
 JOB_PATH = '/q1/0123456789abcdef'
 POOL = 'pool'
 QUEUES = 3
+MAX_ATTEMPTS = 4
 LONG_TEXT = 'x' * 70_000
 
 
@@ -57,7 +58,7 @@
         'TargetDurationMs': 60,
         'Priority': urgency,
         'Service': POOL,
-        'MaxAttempts': 4,
+        'MaxAttempts': MAX_ATTEMPTS,
         'Stretch': 1.6,
     }
 
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -4,7 +4,8 @@
 stopped and restarted, or suspended; the store is unavailable, slow or loses
 its change feed; a proxy delays, resets or stalls connections; workers crash,
 leave, fail or are slow. Clients submit jobs all the while on persistent
-connections. Afterwards the invariants are checked.
+connections. On request, some tasks crash the workers that start them, and
+clients send jobs again. Afterwards the invariants are checked.
 """
 
 import contextlib
@@ -12,6 +13,7 @@
 import functools
 import random
 import time
+from concurrent import futures
 
 from support import (
     loopback_proxy,
@@ -25,7 +27,7 @@
 START_TIMEOUT_PER_PROCESS_S = 1.5
 MIN_START_TIMEOUT_S = 20
 RECOVERY_S = 2.5
-# Time allowed for the last responses.
+# Time allowed for the last responses to each time that a job is sent.
 RESPONSE_TIMEOUT_S = 15
 
 
@@ -39,6 +41,8 @@
         faults: Number of faults that are drawn.
         jobs_per_s: Jobs that clients submit per second.
         link_mbps: Capacity of each process's link by its settings, in Mbit/s.
+        has_deadly_tasks: Whether the faults include tasks that crash workers.
+        resends: How often clients send a job again that has no result.
     """
 
     instances: int = 4
@@ -46,6 +50,8 @@
     faults: int = 7
     jobs_per_s: int = 25
     link_mbps: int = platform_fleet.LARGE_LINK_MBPS
+    has_deadly_tasks: bool = False
+    resends: int = 0
 
     def start_timeout_s(self):
         """Return how long all processes may take to start, in seconds."""
@@ -53,6 +59,18 @@
             MIN_START_TIMEOUT_S + START_TIMEOUT_PER_PROCESS_S * self.instances
         )
 
+    def faults_to_draw(self):
+        """Return the faults among which each is drawn."""
+        if self.has_deadly_tasks:
+            return soak_faults.FAULTS + soak_faults.DEADLY_FAULTS
+        return soak_faults.FAULTS
+
+    def recovery_s(self):
+        """Return how long the load continues after the faults, in seconds."""
+        if self.has_deadly_tasks:
+            return RECOVERY_S + soak_faults.MAX_WORKER_RESTART_S
+        return RECOVERY_S
+
 
 class Soak:
     """One run with one seed.
@@ -75,6 +93,7 @@
             proxy=self.proxy,
             link_mbps=self.size.link_mbps,
         )
+        self.fleet.resends = self.size.resends
         self.started_s = time.monotonic()
         self.steps = []
         self.disruptions = []
@@ -112,7 +131,7 @@
             self.load(self.random.uniform(0.2, MAX_FAULT_INTERVAL_S))
             self.undo_some()
         self.undo_all()
-        self.load(RECOVERY_S)
+        self.load(self.size.recovery_s())
 
     def load(self, seconds):
         """Submit jobs for some seconds, some of them to the newest queue."""
@@ -129,21 +148,13 @@
 
     def inject_fault(self):
         """Inject one randomly chosen fault."""
-        fault = self.random.choice(soak_faults.FAULTS)
+        fault = self.random.choice(self.size.faults_to_draw())
         elapsed_ms = int((time.monotonic() - self.started_s) * 1000)
         self.steps.append(f'{elapsed_ms} {fault.__name__} {fault(self)}')
 
-    def live_processes(self):
-        """Return the processes that run."""
-        return [
-            process
-            for process in self.fleet.processes
-            if process.child.poll() is None
-        ]
-
     def choose_live_process(self):
         """Return a random process that runs."""
-        return self.random.choice(self.live_processes())
+        return self.random.choice(self.fleet.live_processes())
 
     def begin_disruption(self, kind, subject=''):
         """Record the begin of a disruption; return it."""
@@ -172,12 +183,11 @@
     def violations(self):
         """Return the violations that clients and workers observed."""
         fleet = self.fleet
-        deadline_s = time.monotonic() + RESPONSE_TIMEOUT_S
-        while (
-            len(fleet.answers) < fleet.submitted_count
-            and time.monotonic() < deadline_s
-        ):
-            time.sleep(0.05)
+        futures.wait(
+            fleet.submissions,
+            timeout=RESPONSE_TIMEOUT_S * (1 + self.size.resends),
+        )
+        fleet.resends = 0
         found = soak_checks.violations(
             soak_checks.Observations(
                 answers=list(fleet.answers),
--- a/features/support/soak_checks.py
+++ b/features/support/soak_checks.py
@@ -1,15 +1,19 @@
 """Invariants of the soak, checked on what clients and workers observed."""
 
+import collections
 import dataclasses
 import json
 
+from support import platform_requests
+
 # Clients wait 3 s; the rest allows for delays on a busy machine.
 MAX_RESPONSE_S = 4
 # Statuses that a client may get; 0 if there was no response, as from a process
 # that was killed.
 STATUSES = frozenset((0, 200, 404, 503, 504))
 COMPLETED = 'completed'
-STATES = frozenset((COMPLETED, 'failed'))
+FAILED = 'failed'
+STATES = frozenset((COMPLETED, FAILED))
 # Limits that the platform documents, in seconds.
 GRACE_S = 6
 CONTACT_S = 3
@@ -17,6 +21,11 @@
 DOWNGRADE_S = 0.25
 LOSS_SLACK_S = 0.2
 DRAIN_S = 2
+# Crashed workers after which a task may be given up, and after which it may be
+# started only a few times more.
+GIVE_UP_CRASHES = 2
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 2
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -66,6 +75,41 @@
             for disruption in self.disruptions
         )
 
+    def has_started(self, answer):
+        """Return whether a task started before the job was sent again."""
+        resent_s = min(
+            (
+                other.sent_s
+                for other in self.answers
+                if other.job_id == answer.job_id
+                and other.sent_s > answer.sent_s
+            ),
+            default=float('inf'),
+        )
+        return any(
+            answer.sent_s < started_s < resent_s
+            for (name, _, _), started_s in zip(
+                self.state['starts'], self.state['started_s'], strict=True
+            )
+            if job_of(name) == answer.job_id
+        )
+
+    def crash_counts(self):
+        """Return how many workers have crashed while they ran each task."""
+        return collections.Counter(name for name, _ in self.state['crashes'])
+
+    def may_have_failed(self, job_id):
+        """Return whether a task of a job has failed or crashed too often."""
+        failures = self.state['failures']
+        return any(
+            failures.get(name, 0) >= platform_requests.MAX_ATTEMPTS
+            or crashes >= GIVE_UP_CRASHES
+            for name, crashes in (
+                dict.fromkeys(failures, 0) | self.crash_counts()
+            ).items()
+            if job_of(name) == job_id
+        )
+
     def suspended_s(self, answer):
         """Return how long a process was suspended during a request."""
         total_s = 0
@@ -76,18 +120,24 @@
         return total_s
 
 
+def job_of(task):
+    """Return the id of a task's job."""
+    return task.partition('.')[0]
+
+
 def violations(observed):
     """Return the violations of all invariants."""
-    started = {name.split('.')[0] for name, _, _ in observed.state['starts']}
+    started = {job_of(name) for name, _, _ in observed.state['starts']}
     found = list(observed.state['broken'])
     for answer in observed.answers:
         found.extend(response_violations(observed, answer, started))
-    return found + dropped_by_stops(observed, started) + late_starts(observed)
+    found.extend(starts_after_crashes(observed))
+    return found + dropped_by_stops(observed) + late_starts(observed)
 
 
 def response_violations(observed, answer, started):
     """Yield the violations of a single response."""
-    label = f'{answer.job_id} at {answer.process}'
+    label = f'{answer.job_id} at {answer.process}, attempt {answer.attempt},'
     if answer.status not in STATUSES:
         yield f'{label} got status {answer.status}: {answer.body}'
     if answer.status == 503 and answer.job_id in started:
@@ -120,6 +170,8 @@
     )
     if state == COMPLETED and done < answer.tasks:
         yield f'{label} has {done} of {answer.tasks} tasks done'
+    if state == FAILED and not observed.may_have_failed(answer.job_id):
+        yield f'{label} got state failed without cause'
 
 
 def version_violations(observed, answer, label):
@@ -157,17 +209,17 @@
     return is_same and other.status not in {0, 404}
 
 
-def dropped_by_stops(observed, started):
+def dropped_by_stops(observed):
     """Return the requests that a planned stop has dropped."""
     return [
         f'{answer.job_id} was dropped by the stop of {answer.process} after '
         f'{answer.ended_s - answer.sent_s:.2f} s'
         for answer in observed.answers
-        if not answer.status and is_dropped_by_stop(observed, answer, started)
+        if not answer.status and is_dropped_by_stop(observed, answer)
     ]
 
 
-def is_dropped_by_stop(observed, answer, started):
+def is_dropped_by_stop(observed, answer):
     """Return whether nothing but a planned stop has dropped a request."""
     stop = next(
         (
@@ -187,11 +239,29 @@
     # A job that still runs at the end of the grace period may be dropped.
     is_at_end = answer.ended_s > stop.begun_s + GRACE_S * 5 / 6
     was_early = answer.sent_s < stop.begun_s + CONTACT_S
-    if answer.job_id in started:
+    if observed.has_started(answer):
         return not (is_at_end and was_early)
     return answer.ended_s - answer.sent_s > LOSS_SLACK_S
 
 
+def starts_after_crashes(observed):
+    """Return the tasks that were started on although they crash workers."""
+    starts = [name for name, _, _ in observed.state['starts']]
+    begins = collections.defaultdict(list)
+    for name, start_count in observed.state['crashes']:
+        begins[name].append(start_count)
+    found = []
+    for name, start_counts in begins.items():
+        if len(start_counts) >= MAX_CRASHES:
+            count = starts[start_counts[MAX_CRASHES - 1] :].count(name)
+            if count > MAX_STARTS_AFTER_CRASHES:
+                found.append(
+                    f'{name} was started {count} times after it had crashed '
+                    f'{MAX_CRASHES} workers'
+                )
+    return found
+
+
 def late_starts(observed):
     """Return the starts on workers that announced long before that they leave.
 
--- a/features/support/soak_faults.py
+++ b/features/support/soak_faults.py
@@ -9,6 +9,9 @@
 
 # SIGHUP ends a process whose interpreter has not yet run the program's code.
 INTERPRETER_START_S = 0.3
+# Time until a worker is back that a deadly task has crashed.
+MIN_WORKER_RESTART_S = 1.5
+MAX_WORKER_RESTART_S = 4
 
 
 def kill(soak):
@@ -28,7 +31,7 @@
 
 def active_allocator(soak):
     """Return the active allocator, or another process if it does not run."""
-    live = soak.live_processes()
+    live = soak.fleet.live_processes()
     allocator = soak.fleet.allocating_process()
     return allocator if allocator in live else live[0]
 
@@ -160,6 +163,19 @@
     return f'{name} {faults}'
 
 
+def mark_deadly(soak):
+    """Let a kind of job crash each worker that starts it, for a while."""
+    deadly = {
+        'digit': soak.random.choice('0123456789abcdef'),
+        'restart_s': soak.random.uniform(
+            MIN_WORKER_RESTART_S, MAX_WORKER_RESTART_S
+        ),
+    }
+    soak.fleet.control('/deadly', deadly)
+    soak.undo.append(lambda: soak.fleet.control('/deadly', {}))
+    return deadly
+
+
 def drain_worker(soak):
     """Drain a worker, and let it return later."""
     name = f'w{soak.random.randrange(soak.size.workers)}'
@@ -197,3 +213,5 @@
     drain_worker,
     change_configuration,
 )
+# In addition to the others, in runs with deadly tasks.
+DEADLY_FAULTS = (mark_deadly, mark_deadly, mark_deadly, mark_deadly)
--- a/features/support/soak_violations.py
+++ b/features/support/soak_violations.py
@@ -104,6 +104,38 @@
     )
 
 
+def inject_repeated_crashes(soak):
+    """Let workers that a task has crashed start it again by themselves."""
+    deadly = {'digit': 'a', 'restart_s': 0.01, 'repeats': True}
+    soak.fleet.control('/deadly', deadly)
+    soak.fleet.submit(soak.fleet.processes[0], job='a' * 16).result()
+    soak.fleet.control('/deadly', {})
+
+
+def inject_false_failures(soak):
+    """Report completed jobs to clients as failed."""
+    rewrite_responses(
+        soak,
+        b'21\r\n\r\n{"State":"completed"}',
+        b'18\r\n\r\n{"State":"failed"}',
+    )
+
+
+def inject_forgotten_attempts(soak):
+    """Report jobs as not run that had started before they were sent again."""
+    soak.fleet.resends = 1
+    submissions = [
+        soak.fleet.submit(process, work_ms=600)
+        for process in soak.fleet.processes
+    ]
+    time.sleep(0.3)
+    for process in soak.fleet.processes:
+        process.routes['front'].reset()
+    rewrite_responses(soak, b'HTTP/1.1 200', b'HTTP/1.1 503')
+    for submission in submissions:
+        submission.result()
+
+
 def rewrite_responses(soak, before, after):
     """Replace some bytes in the responses to all clients."""
     rewrite = functools.partial(replace_bytes, before, after)
@@ -147,5 +179,17 @@
             'was dropped by the stop',
         ),
         'an undocumented status': (inject_undocumented_status, 'got status'),
+        'a task started after each crash': (
+            inject_repeated_crashes,
+            'after it had crashed',
+        ),
+        'completed jobs reported as failed': (
+            inject_false_failures,
+            'failed without cause',
+        ),
+        'jobs reported as not run when sent again': (
+            inject_forgotten_attempts,
+            'attempt 2, ran but was reported as not run',
+        ),
     }
 )
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,7 +1,8 @@
 """Runs the soak test: `make soak SEED=n`, or `make soak SEEDS=50`.
 
 A larger fleet: `make soak SEED=n INSTANCES=60 WORKERS=150`; worker agents:
-`make soak SEED=n LINK_MBPS=1`.
+`make soak SEED=n LINK_MBPS=1`; tasks that crash workers, and clients that send
+jobs again: `make soak SEED=n DEADLY=1 RESENDS=3`.
 """
 
 import pathlib
@@ -41,6 +42,18 @@
     lower_bound=1,
 )
 
+DEADLY = flags.DEFINE_boolean(
+    'deadly',
+    DEFAULT_SIZE.has_deadly_tasks,
+    'Whether some tasks crash the workers that start them.',
+)
+RESENDS = flags.DEFINE_integer(
+    'resends',
+    DEFAULT_SIZE.resends,
+    'How often clients send a job again that has no result.',
+    lower_bound=0,
+)
+
 
 def size_from_flags() -> soak.Size:
     """Return the size of the runs."""
@@ -50,6 +63,8 @@
         faults=FAULTS.value,
         jobs_per_s=JOBS_PER_S.value,
         link_mbps=LINK_MBPS.value,
+        has_deadly_tasks=DEADLY.value,
+        resends=RESENDS.value,
     )
 
 
