--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -11,6 +11,7 @@
 import contextlib
 import dataclasses
 import functools
+import json
 import random
 import time
 from concurrent import futures
@@ -188,10 +189,13 @@
             timeout=RESPONSE_TIMEOUT_S * (1 + self.size.resends),
         )
         fleet.resends = 0
+        answers = list(fleet.answers)
+        state = fleet.control('/state')
+        self.write_observations(answers, state)
         found = soak_checks.violations(
             soak_checks.Observations(
-                answers=list(fleet.answers),
-                state=fleet.control('/state'),
+                answers=answers,
+                state=state,
                 disruptions=self.disruptions,
                 stops=self.stops,
                 versions=self.versions,
@@ -200,6 +204,12 @@
         found.extend(map(missing_response, fleet.submissions))
         return [*filter(None, found), *self.unserved_processes()]
 
+    def write_observations(self, answers, state):
+        """Write what clients and workers observed beside the logs."""
+        lines = '\n'.join(map(str, answers))
+        (self.fleet.folder / 'answers.txt').write_text(lines)
+        (self.fleet.folder / 'state.json').write_text(json.dumps(state))
+
     def unserved_processes(self):
         """Return which processes do not serve after all faults have ended.
 
