--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -24,19 +24,29 @@
       | 2    |
       | 3    |
 
+  Scenario Outline: Seed <seed> violates no invariant with deadly tasks and jobs that are sent again
+    Then the soak of seed <seed> with deadly tasks and jobs that are sent again violates no invariant
+
+    Examples:
+      | seed |
+      | 1551 |
+
   Scenario Outline: An injected violation is reported: <violation>
     Then a soak with <violation> reports the violation
 
     Examples:
-      | violation                             |
-      | a start executed twice                |
-      | workers that overstate their capacity |
-      | executed jobs reported as not run     |
-      | failed jobs reported as completed     |
-      | an undefined job state                |
-      | delayed responses                     |
-      | a queue that disappears               |
-      | a configuration applied late          |
-      | workers that leave unannounced        |
-      | a stop that drops requests            |
-      | an undocumented status                |
+      | violation                                |
+      | a start executed twice                   |
+      | workers that overstate their capacity    |
+      | executed jobs reported as not run        |
+      | failed jobs reported as completed        |
+      | an undefined job state                   |
+      | delayed responses                        |
+      | a queue that disappears                  |
+      | a configuration applied late             |
+      | workers that leave unannounced           |
+      | a stop that drops requests               |
+      | an undocumented status                   |
+      | a task started after each crash          |
+      | completed jobs reported as failed        |
+      | jobs reported as not run when sent again |
