--- a/features/steps/soak_check_steps.py
+++ b/features/steps/soak_check_steps.py
@@ -17,6 +17,7 @@
             job_id=JOB_ID,
             path=f'/{QUEUE}/{JOB_ID}',
             tasks=1,
+            attempt=1,
             status=status,
             body=body,
             process='i0',
@@ -46,7 +47,13 @@
     """Return the violations of the check, called as for a real run."""
     observed = soak_checks.Observations(
         answers=context.answers,
-        state={'starts': [], 'done': [], 'broken': [], 'late_starts': []},
+        state={
+            'starts': [],
+            'done': [],
+            'crashes': [],
+            'broken': [],
+            'late_starts': [],
+        },
         disruptions=[],
         stops=[],
         versions={QUEUE: 0},
