Take no start that was not answered for a certain crash

Cause: a start that is sent to a worker just after another task has crashed it is never carried out, but its run was tracked, lapsed with the worker, and counted as a crash once the worker had restarted. Two of these in a row failed the job.

Change: a run knows whether its worker has accepted or reported it. Without that the loss of the worker stays suspected when the worker restarts: three of these give the job up with an unknown outcome, none makes it a failed one. A task that crashes its workers before they answer the start is given up by them.

Test: "A task whose workers crash before they answer its start is not given up as failed" failed before. The other scenarios of that file did not answer starts either, although their tasks run; their steps accept them now, with the same assertions.

--- a/features/pool/crash_records.feature
+++ b/features/pool/crash_records.feature
@@ -47,6 +47,15 @@
     When the worker of the task is silent for good, 3 times
     Then the job is given up with an unknown outcome
 
+  Scenario: A task whose workers crash before they answer its start is not given up as failed
+    # Starts that were sent to a worker just after another task had crashed it. They
+    # were never carried out, but were taken for crashes once it had restarted.
+    Given an allocator with 4 workers that answer no start and a job of 1 task that has 60 s
+    When the worker of the task restarts before a report, 2 times
+    Then the job is not given up
+    When the worker of the task restarts before a report, 1 times
+    Then the job is given up with an unknown outcome
+
   Scenario: A task that was given up is not started for another submission
     Given an allocator with 4 workers and a job of 1 task that has 60 s
     When the worker of the task is silent until its lease lapses, and restarts, 2 times
--- a/features/steps/crash_record_steps.py
+++ b/features/steps/crash_record_steps.py
@@ -29,6 +29,18 @@
     'an allocator with {workers:d} workers and a job of 1 task that has {seconds:g} s'
 )
 def given_allocator(context, workers, seconds):
+    begin(context, workers, seconds, answers_starts=True)
+
+
+@behave.given(
+    'an allocator with {workers:d} workers that answer no start and a job of 1 task that has {seconds:g} s'
+)
+def given_allocator_without_answers(context, workers, seconds):
+    begin(context, workers, seconds, answers_starts=False)
+
+
+def begin(context, workers, seconds, *, answers_starts):
+    context.answers_starts = answers_starts
     context.machine = allocator.Allocator(
         token=values.Token(2), now_s=TAKEN_OVER_S
     )
@@ -105,11 +117,25 @@
         case actions.StartRun():
             context.worker = action.worker_id
             context.run = action.number
+            answer_start(context)
         case actions.NotifyOwner(message=messages.GivenUp()):
             context.worker = None
             context.given_up.append(action.message)
 
 
+def answer_start(context):
+    outcome = outcomes.NoAnswer(detail='connection closed')
+    if context.answers_starts:
+        outcome = outcomes.Accepted(clock_ms=int(context.now_s * 1000))
+    context.machine.runs.on_start_outcome(
+        worker_id=context.worker,
+        name=TASK,
+        number=context.run,
+        outcome=outcome,
+        now_s=context.now_s,
+    )
+
+
 @behave.when(
     'the worker of the task is silent until its lease lapses, and answers again, {count:d} times'
 )
@@ -133,6 +159,16 @@
         advance(context, TICK_S)
 
 
+@behave.when('the worker of the task restarts before a report, {count:d} times')
+def when_restarts_early(context, count):
+    for _ in range(count):
+        lost = context.worker
+        while context.worker == lost:
+            advance(context, TICK_S, silent={lost})
+        context.born_ms[lost] += 1000
+        report(context, lost)
+
+
 @behave.when('the worker of the task is silent for good, {count:d} times')
 def when_silent_for_good(context, count):
     silent = set()
--- a/packages/guavaroad/src/guavaroad/domain/pool/crash_records.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/crash_records.py
@@ -5,7 +5,8 @@
 
 A lease that has lapsed does not show whether the worker has crashed or is cut
 off. Such a loss is suspected until the worker answers again: it has crashed if
-it has restarted, and the task is cleared if it has not.
+it has restarted, and the task is cleared if it has not. The loss stays
+suspected if the worker had not answered the start before it restarted.
 """
 
 import dataclasses
@@ -31,7 +32,7 @@
 
     Attributes:
         crashed: Incarnations of workers that have restarted since.
-        silent: Incarnations that have not answered since.
+        silent: Incarnations that have not answered since, or not the start.
         earlier: Losses that other allocators have recorded.
     """
 
@@ -83,11 +84,12 @@
     def record_silent(
         self, task: values.TaskName, incarnation: Incarnation
     ) -> None:
-        """Record that the lease of a task's run has lapsed.
+        """Record that a worker may have been lost while it ran a task.
 
         Args:
             task: The task.
-            incarnation: Incarnation of the worker, which does not answer.
+            incarnation: Incarnation of the worker, which does not answer or had
+                not answered the start.
         """
         record = self.find(task)
         self.records.record(
--- a/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/lost_workers.py
@@ -33,7 +33,7 @@
         self.drop_reported(worker_state)
         for run in tuple(worker_state.runs.values()):
             self.runs.crashes.record_silent(run.task.name, incarnation)
-            worker_state.lapsed_tasks.add(run.task.name)
+            worker_state.lapsed_runs.append(run)
             self.log_lost(worker_state, run)
             self.runs.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
 
@@ -57,11 +57,23 @@
                     # The present incarnation does not know of the stop.
                     run.state = values.RunState.UNANSWERED
                     self.runs.stop(worker_state, run)
-        lapsed = worker_state.lapsed_tasks
-        worker_state.lapsed_tasks = set()
-        for name in lapsed:
-            self.runs.crashes.record_crash(name, incarnation)
-            self.give_up_if_crashing(name)
+        lapsed = worker_state.lapsed_runs
+        worker_state.lapsed_runs = []
+        for run in lapsed:
+            self.record_loss(run, incarnation)
+            self.give_up_if_crashing(run.task.name)
+
+    def record_loss(
+        self, run: worker.Run, incarnation: crash_records.Incarnation
+    ) -> None:
+        """Record that the worker of a run has restarted.
+
+        A start that it has not answered may never have been carried out.
+        """
+        if run.has_begun:
+            self.runs.crashes.record_crash(run.task.name, incarnation)
+        else:
+            self.runs.crashes.record_silent(run.task.name, incarnation)
 
     def give_up_if_crashing(self, name: values.TaskName) -> None:
         """Give up the job of a task that has crashed too many workers."""
@@ -95,17 +107,17 @@
         now_s: float,
     ) -> None:
         """End a run that was lost when its worker crashed."""
-        self.runs.crashes.record_crash(run.task.name, incarnation)
+        self.record_loss(run, incarnation)
         self.log_lost(worker_state, run)
         self.runs.end_run(worker_state, run, values.EndKind.LAPSED, now_s)
 
     def on_answered(self, worker_state: worker.Worker) -> None:
         """Clear the tasks of a worker that was cut off, not crashed."""
         incarnation = present_incarnation(worker_state)
-        for name in worker_state.lapsed_tasks:
-            self.runs.crashes.clear(name, incarnation)
-            self.tell_cleared(name)
-        worker_state.lapsed_tasks = set()
+        for run in worker_state.lapsed_runs:
+            self.runs.crashes.clear(run.task.name, incarnation)
+            self.tell_cleared(run.task.name)
+        worker_state.lapsed_runs = []
 
     def tell_cleared(self, name: values.TaskName) -> None:
         """Tell the owner of an open task how many losses are left.
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -88,6 +88,7 @@
             case outcomes.Accepted():
                 if outcome.clock_ms >= 0:
                     worker_state.lease.read_clock(outcome.clock_ms, now_s)
+                run.has_begun = True
                 run.task.start_pause_s = 0
                 run.task.refused_by = None
                 if run.state is values.RunState.ORDERED:
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -47,6 +47,7 @@
             long as it runs.
         percent: Progress in the last report, in percent.
         progressed_s: Time at which the progress last changed.
+        has_begun: Whether the worker has accepted or reported it.
     """
 
     task: work.Task
@@ -56,6 +57,7 @@
     reportable_s: float
     percent: int = 0
     progressed_s: float = 0
+    has_begun: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -75,7 +77,7 @@
         unclaimed_runs: Reported runs that belong to no tracked job.
         is_synced: Whether a run report has been received under this token since
             the last failure.
-        lapsed_tasks: Tasks whose runs have lapsed since its last answer.
+        lapsed_runs: Runs that have lapsed since its last answer.
         last_end_position: Sequence number of the last recorded end.
         last_poll_s: Time at which the last answered status poll was sent.
         report_clock_ms: Worker's clock in its newest report, in milliseconds.
@@ -103,7 +105,7 @@
         default_factory=dict
     )
     is_synced: bool = False
-    lapsed_tasks: set[values.TaskName] = dataclasses.field(default_factory=set)
+    lapsed_runs: list[Run] = dataclasses.field(default_factory=list)
     last_end_position: int = 0
     last_poll_s: float = 0
     unclaimed_since_s: float | None = None
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -95,7 +95,7 @@
             return
         if started_ms != worker_state.worker_info.started_ms:
             self.on_restart(worker_state, started_ms, now_s)
-        elif worker_state.lapsed_tasks:
+        elif worker_state.lapsed_runs:
             self.lost_workers.on_answered(worker_state)
 
     def record_poll_failure(
@@ -156,6 +156,7 @@
         self, run: worker.Run, entry: outcomes.ListedRun, now_s: float
     ) -> None:
         """Record the reported progress of a run."""
+        run.has_begun = True
         if run.state is values.RunState.ORDERED:
             run.state = values.RunState.RUNNING
             run.reportable_s = now_s
@@ -199,6 +200,7 @@
                 reportable_s=now_s,
                 percent=entry.percent,
                 progressed_s=now_s,
+                has_begun=True,
             ),
         )
         self.state.log_event(
