Start the clock of a simulated worker anew when it restarts

By the protocol, a minion that starts again under its id holds nothing of before, and its clock starts anew. The simulated worker kept its clock and the timer of its lease over a restart, and carried out orders that its earlier process had received and delayed, even while it was down. So the simulation could not show starts with a lease by the earlier clock: with more restarts and pauses, a worker accepts such a start 274 ms after its restart and runs over its capacity.

--- a/standins/src/guavaroad_standins/pool_worker.py
+++ b/standins/src/guavaroad_standins/pool_worker.py
@@ -142,6 +142,25 @@
         return HUNG_WORK_S if self.hangs else normal_s * self.slowdown
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class SimLease:
+    """The lease of a simulated worker.
+
+    Attributes:
+        until_ms: End on the worker's clock, in milliseconds; 0 if there was no
+            lease.
+        timer: Timer for the end.
+    """
+
+    until_ms: int = 0
+    timer: Any = None
+
+    def end(self) -> None:
+        """End the lease early, without an effect on the runs."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+
 class SimWorker:
     """A simulated worker.
 
@@ -150,8 +169,10 @@
         running: Its runs by task.
         ended: Ended runs that were not yet acknowledged.
         token: Highest fencing token that it has seen.
+        lease: Its lease.
         is_up: Whether it is running.
         faults: Its faults.
+        clock_start_s: Time at which its clock showed 0, in seconds.
         earlier_cpu: Earlier capacities in thousandths of a core, each with the
             time until which starts may follow it.
     """
@@ -167,16 +188,17 @@
         self.stopped: dict[values.TaskName, values.RunNumber] = {}
         self.token = values.Token(0)
         self.position = 0
-        self.lease_timer: Any = None
-        self.lease_until_ms = 0
+        self.lease = SimLease()
         self.pending_polls: list[Callable[[], None]] = []
         self.is_up = True
         self.faults = Faults()
+        self.clock_start_s: float = 0
         self.earlier_cpu: list[tuple[float, int]] = []
 
     def clock_ms(self) -> int:
         """Return the time of its clock, in milliseconds."""
-        return units.to_ms(self.clock.seconds() * self.faults.clock_rate)
+        elapsed_s = self.clock.seconds() - self.clock_start_s
+        return units.to_ms(elapsed_s * self.faults.clock_rate)
 
     def start(self, order: pool.StartOrder) -> outcomes.OrderOutcome:
         """Start a run, or refuse it."""
@@ -270,16 +292,13 @@
         """Extend the lease, limited to `MAX_LEASE_MS` from now."""
         max_until_ms = self.clock_ms() + MAX_LEASE_MS
         until_ms = min(until_ms, max_until_ms)
-        if until_ms <= self.lease_until_ms:
+        if until_ms <= self.lease.until_ms:
             return
-        self.lease_until_ms = until_ms
-        if self.lease_timer is not None and self.lease_timer.active():
-            self.lease_timer.cancel()
+        self.lease.end()
         remaining_s = until_ms / units.MS_PER_S / self.faults.clock_rate
-        remaining_s -= self.clock.seconds()
-        self.lease_timer = self.clock.callLater(
-            max(remaining_s, 0), self.expire_lease
-        )
+        remaining_s += self.clock_start_s - self.clock.seconds()
+        timer = self.clock.callLater(max(remaining_s, 0), self.expire_lease)
+        self.lease = SimLease(until_ms=until_ms, timer=timer)
 
     def expire_lease(self) -> None:
         """Kill all runs when the lease expires."""
@@ -343,7 +362,10 @@
 
 
 def restart(sim_worker: SimWorker) -> None:
-    """Start a worker again under its id, without any memory."""
+    """Start a worker again under its id, without any memory.
+
+    Its clock starts anew, and its lease ends.
+    """
     sim_worker.crash()
     sim_worker.worker_info = dataclasses.replace(
         sim_worker.worker_info,
@@ -353,7 +375,9 @@
     sim_worker.position = 0
     sim_worker.token = values.Token(0)
     sim_worker.stopped = {}
-    sim_worker.lease_until_ms = 0
+    sim_worker.lease.end()
+    sim_worker.lease = SimLease()
+    sim_worker.clock_start_s = sim_worker.clock.seconds()
 
 
 def resize(sim_worker: SimWorker, cpu: int) -> None:
@@ -378,6 +402,22 @@
     return max(sim_worker.worker_info.capacity.cpu, *earlier, 0)
 
 
+def execute_late(
+    sim_worker: SimWorker, started_ms: int, execute: Callable[[], object]
+) -> None:
+    """Execute a delayed order, unless the worker's process has ended.
+
+    Args:
+        sim_worker: The worker.
+        started_ms: Start of the process that received the order, in Unix
+            milliseconds.
+        execute: Executes the order.
+    """
+    is_same = sim_worker.worker_info.started_ms == started_ms
+    if sim_worker.is_up and is_same:
+        execute()
+
+
 class SimWorkers:
     """Connections of one instance to the workers; implements the port.
 
@@ -457,7 +497,10 @@
             return
         delay_s = self.delay_s(sim_worker)
         if delay_s:
-            self.clock.callLater(delay_s, execute)
+            started_ms = sim_worker.worker_info.started_ms
+            self.clock.callLater(
+                delay_s, execute_late, sim_worker, started_ms, execute
+            )
             return
         outcome = execute()
         if self.reaches(sim_worker):
