--- a/features/pool/random_faults.feature
+++ b/features/pool/random_faults.feature
@@ -12,6 +12,11 @@
   Scenario: No refused job starts while messages are late in one direction
     Then 2 runs of 5 s with random faults, worker agents and delayed messages from seed 1 start no refused job
 
+  Scenario: No worker is started over its capacity while the worker list cannot be read
+    # A worker had shrunk 3.2 s before; the allocator did not read that, and started
+    # tasks for the earlier capacity.
+    Then 1 runs of 5 s with random faults, worker agents and delayed messages from seed 880189 start no refused job
+
   Scenario: A job that is sent again before its withdrawal is answered is not refused and started
     # The answer to the withdrawal of the earlier attempt was taken as that to the
     # present one, which the allocator started.
