--- a/features/pool/random_faults.feature
+++ b/features/pool/random_faults.feature
@@ -17,6 +17,12 @@
     # tasks for the earlier capacity.
     Then 1 runs of 5 s with random faults, worker agents and delayed messages from seed 880189 start no refused job
 
+  Scenario: No worker is started over its capacity after a pause of an owner
+    # The owner resumed after 2.1 s, read a `Follow` message that had waited, and had
+    # the starts behind it sent. Their lease was over by the earlier clock of a worker
+    # that had restarted, but not by its present clock.
+    Then 1 runs of 5 s with many restarts of workers and pauses of instances from seed 930065 start no refused job
+
   Scenario: A job that is sent again before its withdrawal is answered is not refused and started
     # The answer to the withdrawal of the earlier attempt was taken as that to the
     # present one, which the allocator started.
--- a/features/steps/random_faults_steps.py
+++ b/features/steps/random_faults_steps.py
@@ -37,6 +37,18 @@
         check_run(number, run, seconds)
 
 
+@behave.then(
+    '{count:d} runs of {seconds:g} s with many restarts of workers and pauses of instances from seed {seed:d} start no refused job'
+)
+def then_random_restarts(context, count, seconds, seed):
+    for number in range(seed, seed + count):
+        run = pool_faults.FaultRun(
+            seed=number, link_bytes_per_s=200_000, has_path_faults=True
+        )
+        run.faults.add_restarts_and_pauses()
+        check_run(number, run, seconds)
+
+
 def check_run(number, run, seconds):
     run.run(seconds)
     found = {
--- a/features/support/pool_faults.py
+++ b/features/support/pool_faults.py
@@ -20,6 +20,10 @@
 FAULT_GROUPS = (1, 1, 2, 4)
 # Capacities for no task, one and two of the tasks in the pool.
 WORKER_CPU = (8000, 16_000, 32_000)
+# Additional shares of faults in runs with many restarts and pauses.
+MORE_CRASHES = 6
+MORE_FREEZES = 4
+MORE_HOLDS = 2
 
 
 def reset_link(world, link):
@@ -80,6 +84,12 @@
             self.stop_instance,
         )
 
+    def add_restarts_and_pauses(self):
+        """Choose restarts of workers and pauses of instances more often."""
+        self.kinds += (self.crash_worker,) * MORE_CRASHES
+        self.kinds += (self.freeze_any,) * MORE_FREEZES
+        self.kinds += (self.hold,) * MORE_HOLDS
+
     def later(self, delay_s, action, *args):
         """Do something after a delay."""
         self.world.clock.callLater(delay_s, action, *args)
