--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 import time
 
 from standins import http_server
@@ -19,6 +20,8 @@
 LEASE_CHECK_S = 0.005
 MAX_ENDS = 500
 MAX_PERCENT = 99
+# When orders that got no answer are carried out, in seconds.
+LATE_S = (2, 12)
 WHOLE_PERCENT = 100
 
 
@@ -93,6 +96,18 @@
         self.news = asyncio.Event()
         return True
 
+    async def hold(self, poll):
+        """Extend the lease, and return both lists; wait for an end if asked."""
+        self.extend(poll.get('UntilMs', 0))
+        seen = poll.get('LastSeen', 0)
+        self.ends = [end for end in self.ends if end[0] > seen]
+        wait_s = poll.get('WaitMs', 0) / MS_PER_S
+        if wait_s and not self.ends:
+            waiting = asyncio.ensure_future(self.news.wait())
+            await asyncio.wait((waiting,), timeout=wait_s)
+            waiting.cancel()
+        return self.report()
+
     def report(self):
         """Return both lists."""
         running = [
@@ -111,6 +126,8 @@
         life: Its incarnation; none while it is down.
         record: Receives what it does.
         tasks: What it does beside its calls.
+        late_share: Share of the orders that get no answer, and are carried out
+            late.
     """
 
     def __init__(self, *, name, host, entry, store, record):
@@ -122,6 +139,7 @@
         self.record = record
         self.life = None
         self.tasks = ()
+        self.late_share = 0
         self.server = http_server.HttpServer(handler=self.answer_call)
 
     async def start(self, **changes):
@@ -136,7 +154,11 @@
             'born': self.life.born,
         }
         self.write_entry()
-        self.note('minion_up', labels=self.entry['Labels'])
+        self.note(
+            'minion_up',
+            labels=self.entry['Labels'],
+            address=self.entry['Address'],
+        )
         self.tasks = (
             asyncio.ensure_future(self.beat(self.life)),
             asyncio.ensure_future(self.watch_lease(self.life)),
@@ -195,6 +217,18 @@
     async def answer_call(self, call):
         """Answer a call."""
         life = self.life
+        is_order = call.path != '/guavaroad/hold'
+        if is_order and random.random() < self.late_share:
+            await asyncio.sleep(random.uniform(*LATE_S))
+            if self.life is not life:
+                raise OSError('the minion has gone')
+            self.note('late_order', path=call.path, order=call.fields['Task'])
+            await self.execute(life, call)
+            raise OSError('the order gets no answer')
+        return await self.execute(life, call)
+
+    async def execute(self, life, call):
+        """Carry out a call; return the response."""
         target = call.headers.get('target-instance', self.name)
         if target != self.name:
             return answer(life, OTHER_INSTANCE)
@@ -208,7 +242,8 @@
             case '/guavaroad/run-stop':
                 return self.stop_run(life, call.fields)
             case '/guavaroad/hold':
-                return await self.hold(life, call.fields)
+                lists = await life.hold(call.fields)
+                return answer(life, OK, **lists)
         return answer(life, BAD_REQUEST)
 
     def start_run(self, life, order):
@@ -248,18 +283,6 @@
         )
         return answer(life, OK)
 
-    async def hold(self, life, poll):
-        """Extend the lease, and return both lists."""
-        life.extend(poll.get('UntilMs', 0))
-        seen = poll.get('LastSeen', 0)
-        life.ends = [end for end in life.ends if end[0] > seen]
-        wait_s = poll.get('WaitMs', 0) / MS_PER_S
-        if wait_s and not life.ends:
-            waiting = asyncio.ensure_future(life.news.wait())
-            await asyncio.wait((waiting,), timeout=wait_s)
-            waiting.cancel()
-        return answer(life, OK, **life.report())
-
 
 def answer(life, status, **fields):
     """Return a response of an incarnation."""
