--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -276,6 +276,8 @@
     def stop_run(self, life, order):
         """Stop a run, or reject it for good."""
         task, number = order['Task'], order['Run']
+        if task not in life.runs and number > life.ended.get(task, 0):
+            self.note('stop_before_start', task=task, run=number)
         if task not in life.runs:
             life.ended[task] = max(number, life.ended.get(task, 0))
         asyncio.get_running_loop().call_later(
--- a/review/standins/programs.py
+++ b/review/standins/programs.py
@@ -50,7 +50,7 @@
 Cores = 2
 MemoryMb = 300
 MaxFds = 4100
-LinkMbps = 1000.0
+LinkMbps = {link_mbps}
 DiskMb = 0
 [FaultTolerance]
 Machines = 1
@@ -127,7 +127,7 @@
         children: Processes by node.
     """
 
-    def __init__(self, *, count, store):
+    def __init__(self, *, count, store, link_mbps):
         block = (
             random.randint(FIRST_BLOCK, LAST_BLOCK),
             random.randint(FIRST_BLOCK, LAST_BLOCK),
@@ -135,6 +135,7 @@
         self.hosts = [format_host(block, number) for number in range(count)]
         self.base = free_base(self.hosts)
         self.store_address = store
+        self.link_mbps = link_mbps
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='guavaroad-case-'))
         self.fronts = [(host, self.base) for host in self.hosts]
         self.children = {}
@@ -159,6 +160,7 @@
                 first=str(first).lower(),
                 ports=[self.base + offset for offset in PORT_OFFSETS],
                 store=self.store_address,
+                link_mbps=self.link_mbps,
             )
         )
         with settings.with_suffix('.log').open('ab') as log:
@@ -195,6 +197,10 @@
             await asyncio.sleep(READY_CHECK_S)
         return False
 
+    def signal(self, host, number):
+        """Send a signal to the process of a node."""
+        self.children[host].send_signal(number)
+
     def kill(self, host):
         """Kill the process of a node, and wait for its end."""
         child = self.children[host]
--- a/review/standins/scene.py
+++ b/review/standins/scene.py
@@ -13,6 +13,7 @@
 LIMIT_S = 105
 MINION_HOST = '127.0.0.1'
 QUEUE = 'lohu930'
+LINK_MBPS = 1000.0
 SERVICE = 'amakuru'
 CAPACITY = types.MappingProxyType({'Cpu': 32_000, 'MemMb': 131_072})
 CONFIG = types.MappingProxyType(
@@ -63,7 +64,7 @@
         self.clients = None
         self.has_trouble = os.environ.get('TROUBLE') != '0'
 
-    async def start(self, *, nodes, kinds):
+    async def start(self, *, nodes, kinds, link_mbps):
         """Start everything, with one minion for each of the given kinds.
 
         Returns:
@@ -74,7 +75,9 @@
         self.store.put_json('op', 'config', dict(CONFIG))
         for number, kind in enumerate(kinds):
             await self.add_minion(number, kind)
-        self.programs = programs.Programs(count=nodes, store=store_address)
+        self.programs = programs.Programs(
+            count=nodes, store=store_address, link_mbps=link_mbps
+        )
         self.clients = client.Clients(
             fronts=self.programs.fronts, record=self.record
         )
@@ -108,7 +111,7 @@
             self.programs.close()
 
 
-def play(case, *, folder, nodes, kinds):
+def play(case, *, folder, nodes, kinds, link_mbps=LINK_MBPS):
     """Play a case; return the exit code.
 
     Args:
@@ -116,14 +119,16 @@
         folder: Folder of the record.
         nodes: Number of nodes.
         kinds: Kind of each minion.
+        link_mbps: Capacity of the link of a node, as its settings give it.
     """
-    return asyncio.run(play_in_loop(case, folder, nodes, kinds))
+    size = {'nodes': nodes, 'kinds': kinds, 'link_mbps': link_mbps}
+    return asyncio.run(play_in_loop(case, folder, size))
 
 
-async def play_in_loop(case, folder, nodes, kinds):
+async def play_in_loop(case, folder, size):
     """Play a case on the running event loop; return the exit code."""
     with contextlib.closing(Scene(folder=folder)) as scene:
-        if not await scene.start(nodes=nodes, kinds=kinds):
+        if not await scene.start(**size):
             scene.record.note('not_ready')
             return NOT_RUN
         return await asyncio.wait_for(case(scene), LIMIT_S)
