--- a/features/steps/platform_fuzz_steps.py
+++ b/features/steps/platform_fuzz_steps.py
@@ -9,7 +9,7 @@
 import behave
 import hypothesis
 
-from guavaroad.adapters import http_connection, http_listener
+from guavaroad.adapters import base64_text, http_connection, http_listener
 from guavaroad.domain import names
 from guavaroad.domain.pool import open_jobs, outcomes, routing, worker
 from guavaroad.ports import platform, pool
@@ -159,7 +159,7 @@
     decoded = store.decode_rows(reply)
     if not isinstance(decoded, platform.Away):
         assert all(
-            isinstance(codec.decode_value(row.content), bytes)
+            isinstance(base64_text.decode(row.content), bytes)
             for row in decoded.rows
         )
 
--- a/packages/guavaroad/src/guavaroad/adapters/http_platform.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_platform.py
@@ -7,7 +7,12 @@
 from twisted.internet import defer
 from twisted.web import http
 
-from guavaroad.adapters import http_client, metered, platform_wire
+from guavaroad.adapters import (
+    base64_text,
+    http_client,
+    metered,
+    platform_wire,
+)
 from guavaroad.domain import names
 from guavaroad.ports import platform, upstreams
 
@@ -74,7 +79,7 @@
                 platform_wire.Write(
                     key=write.key,
                     expected_version=write.expected_version,
-                    body=encode_body(write.body),
+                    body=base64_text.encode(write.body),
                 )
                 for write in writes
             ],
@@ -228,11 +233,6 @@
     return urls.quote(text, safe='')
 
 
-def encode_body(body: bytes) -> str:
-    """Encode bytes as base64 text."""
-    return base64.b64encode(body).decode('ascii')
-
-
 def row_of(row: platform_wire.Row) -> platform.Row:
     """Convert a row from its wire structure."""
     return platform.Row(
