Take no clock of an earlier incarnation for that of the present one

Only starts that were ordered after the present incarnation was observed set the clock now.

"The clock of an earlier incarnation is not taken for that of the present one" failed before: Lease(ends_s=11.1, clock_ms=400000, clock_read_s=10.015).

--- a/features/pool/restarts_in_transit.feature
+++ b/features/pool/restarts_in_transit.feature
@@ -31,3 +31,10 @@
     And its worker reports its run
     And its worker reports no run after a restart, to a poll before the start
     Then run 2 of the task is started
+
+  Scenario: The clock of an earlier incarnation is not taken for that of the present one
+    # An accepted start of the earlier one arrived after the first report of the present
+    # one. Leases were then granted for longer than the allocator had counted.
+    When its worker reports no run after a restart
+    And its start is accepted at 400000 ms of the earlier clock
+    Then the clock of the worker is that of its report
--- a/features/steps/restart_transit_steps.py
+++ b/features/steps/restart_transit_steps.py
@@ -62,6 +62,17 @@
     start_outcome(context, outcomes.Accepted())
 
 
+@behave.when('its start is accepted at {clock_ms:d} ms of the earlier clock')
+def when_accepted_earlier(context, clock_ms):
+    start_outcome(context, outcomes.Accepted(clock_ms=clock_ms))
+
+
+@behave.then('the clock of the worker is that of its report')
+def then_clock(context):
+    worker = context.machine.state.workers[context.start.worker_id]
+    assert worker.lease.clock_ms == worker.report_clock_ms, worker.lease
+
+
 @behave.when('its start is not answered')
 def when_not_answered(context):
     start_outcome(context, outcomes.NoAnswer(detail='no answer in time'))
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -86,8 +86,7 @@
             worker_state.health.record_answer()
         match outcome:
             case outcomes.Accepted():
-                if outcome.clock_ms >= 0:
-                    worker_state.lease.read_clock(outcome.clock_ms, now_s)
+                worker_state.read_clock(run, outcome.clock_ms, now_s)
                 run.has_begun = True
                 run.task.start_pause_s = 0
                 run.task.refused_by = None
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -134,6 +134,20 @@
             and sent_s <= self.incarnation_seen_s
         )
 
+    def read_clock(self, run: Run, clock_ms: int, now_s: float) -> None:
+        """Record the clock in the answer to a start.
+
+        An earlier incarnation may have answered, by its own clock, if the start
+        was ordered before the present one was observed.
+
+        Args:
+            run: The run that was started.
+            clock_ms: Worker's clock, in milliseconds; negative if not sent.
+            now_s: Local time at which the answer arrived, in seconds.
+        """
+        if clock_ms >= 0 and run.ordered_s >= self.incarnation_seen_s:
+            self.lease.read_clock(clock_ms, now_s)
+
     def may_have_runs(self) -> bool:
         """Return whether it may have any run."""
         return bool(self.runs or self.unclaimed_runs)
