Go on with the next item after an error that nobody foresaw

The task that follows the configuration and the elections of an instance without a reserved token ended for good, the orders behind a failing action were not sent, all messages of a moment were lost with one that no frame can hold, and a request without an answer held up those behind it.

Each of these now logs the error with its traceback and goes on: calls of the store count as unanswered, a message that does not fit is dropped, a request is answered with 500.

--- a/packages/guavaroad/src/guavaroad/adapters/http_listener.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_listener.py
@@ -16,10 +16,13 @@
 import httptools
 from twisted.internet import protocol
 
-from guavaroad.ports import timers
+from guavaroad.ports import logs, timers
 
 # Pending requests of one connection; with more it is aborted.
 MAX_PIPELINED_REQUESTS: Final = 16
+# Characters of a request target in a log line.
+MAX_LOGGED_TARGET: Final = 200
+_log: Final = logs.logger_of('http')
 _REASONS: Final = types.MappingProxyType(
     {status.value: status.phrase for status in HTTPStatus}
 )
@@ -140,6 +143,22 @@
         """Return the protocol for a new connection."""
         return ServerConnection(listener=self)
 
+    def dispatch(self, request: Request) -> None:
+        """Pass a request to the handler; one that fails there is answered.
+
+        Without an answer, the requests behind it would wait until the client
+        disconnects.
+        """
+        try:
+            self.handler(request)
+        except Exception as error:  # noqa: BLE001 - isolate failing requests
+            _log.opt(exception=error).error(
+                'handling of {} {!r} failed',
+                request.method,
+                request.target[:MAX_LOGGED_TARGET],
+            )
+            request.answer(Answer(status=HTTPStatus.INTERNAL_SERVER_ERROR))
+
     def connection_count(self) -> int:
         """Return the number of open connections."""
         return len(self.connections)
@@ -254,7 +273,7 @@
         self.chunks = []
         self.queue.append(request)
         if len(self.queue) == 1:
-            self.listener.handler(request)
+            self.listener.dispatch(request)
 
     def send_error(self, status: HTTPStatus) -> None:
         """Send an error response and close the connection.
@@ -276,7 +295,7 @@
         self.queue.popleft()
         self.write(answer, closing=closing)
         if self.queue and not closing:
-            self.listener.handler(self.queue[0])
+            self.listener.dispatch(self.queue[0])
         elif self.error_status is not None and not closing:
             self.send_error(self.error_status)
 
--- a/packages/guavaroad/src/guavaroad/adapters/pool_wire.py
+++ b/packages/guavaroad/src/guavaroad/adapters/pool_wire.py
@@ -12,6 +12,7 @@
 from twisted.internet import protocol
 from twisted.protocols import basic
 
+from guavaroad.domain import json_input
 from guavaroad.domain.pool import peer_messages
 from guavaroad.ports import logs
 
@@ -21,6 +22,8 @@
 Message = peer_messages.ToInstance | peer_messages.ToAllocator
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(list[Message])
+# Errors for numbers beyond 64 bits, and for text that UTF-8 can't hold.
+_ENCODE_ERRORS: Final = (OverflowError, ValueError)
 _log: Final = logs.logger_of('links')
 
 
@@ -71,13 +74,13 @@
         self.outbox = []
         if batch and self.is_open:
             self.sent_s = self.reactor.seconds()
-            self.sendString(_ENCODER.encode(batch))
+            self.sendString(encode_batch(batch))
 
     def stringReceived(self, string: bytes) -> None:
         """Decode a frame, and close the link if it is malformed."""
         try:
             received = _DECODER.decode(string)
-        except msgspec.DecodeError as error:
+        except json_input.DECODE_ERRORS as error:
             _log.warning('closing link after malformed frame: {}', error)
             self.transport.abortConnection()
             return
@@ -144,6 +147,25 @@
         self.on_failed()
 
 
+def encode_batch(batch: list[Message]) -> bytes:
+    """Return messages as a frame, without those that it can't hold."""
+    try:
+        return _ENCODER.encode(batch)
+    except _ENCODE_ERRORS as error:
+        _log.error('dropping messages that do not fit a frame: {}', error)
+    return _ENCODER.encode(list(filter(is_encodable, batch)))
+
+
+def is_encodable(message: Message) -> bool:
+    """Return whether a frame can hold a message."""
+    try:
+        _ENCODER.encode(message)
+    except _ENCODE_ERRORS as error:
+        _log.error('dropping {}: {}', type(message).__name__, error)
+        return False
+    return True
+
+
 def _ignore_message(_: Any) -> None:
     """Ignore a message received before a handler is set."""
 
--- a/packages/guavaroad/src/guavaroad/services/pool/action_executor.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/action_executor.py
@@ -1,8 +1,10 @@
 """Executes the allocator's actions."""
 
 from collections.abc import Callable
+from typing import Final
 
 from guavaroad.domain.pool import actions, allocator
+from guavaroad.ports import logs
 from guavaroad.services.pool import (
     agent_calls,
     decision_log,
@@ -11,6 +13,8 @@
     status_poller,
 )
 
+_log: Final = logs.logger_of('allocator')
+
 
 class ActionExecutor:
     """Sends notifications of owners, orders and polls.
@@ -54,7 +58,10 @@
         """Execute actions; notifications of owners come first."""
         self.broadcaster.notify_owners(decided)
         for action in decided:
-            self.execute(action)
+            try:
+                self.execute(action)
+            except Exception as error:  # noqa: BLE001 - go on with the others
+                _log.opt(exception=error).error('{} failed', action)
         self.calls.starts.flush()
 
     def execute(self, action: actions.Action) -> None:
--- a/packages/guavaroad/src/guavaroad/services/pool/candidate.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/candidate.py
@@ -6,12 +6,13 @@
 from twisted.internet import defer
 
 from guavaroad.domain.pool import election, peer_messages, values
-from guavaroad.ports import platform, pool, timers
+from guavaroad.ports import logs, platform, pool, timers
 from guavaroad.services.pool import (
     allocator_follower,
     decision_log,
     directory,
     instance_links,
+    store_calls,
 )
 
 # Time for the other instances to answer a poll, in seconds. A connection that
@@ -29,6 +30,7 @@
 # Time for the store to answer while this instance has a reserved token, in
 # seconds. A healthy store takes about 10 ms.
 STORE_TIMEOUT_S: Final = 0.08
+_log: Final = logs.logger_of('election')
 
 Answer = TypeVar('Answer')
 Elected = Callable[[election.Term, instance_links.InstanceLinks], object]
@@ -194,10 +196,24 @@
 
     def on_poll_finished(self, poll_round: 'PollRound') -> None:
         """Decide by the answers to a poll."""
-        defer.ensureDeferred(self.decide(poll_round))
+        defer.ensureDeferred(self.conclude(poll_round))
+
+    async def conclude(self, poll_round: 'PollRound') -> None:
+        """Take the token if it was claimed, or retry the election later."""
+        try:
+            elected = await self.decide(poll_round)
+        except Exception as error:  # noqa: BLE001 - the next round may succeed
+            _log.opt(exception=error).error('election round failed')
+            elected = None
+        self.running = False
+        if elected is None or self.is_obsolete(poll_round.term):
+            poll_round.links.close()
+            self.timers.call_after(RETRY_DELAY_S, self.retry_election)
+            return
+        self.on_elected(elected, poll_round.links)
 
-    async def decide(self, poll_round: 'PollRound') -> None:
-        """Claim the token, or back off and retry the election later."""
+    async def decide(self, poll_round: 'PollRound') -> election.Term | None:
+        """Claim the token, or back off; return the new term if it has one."""
         term = poll_round.term
         answers = tuple(poll_round.answers.values())
         self.reached = frozenset(poll_round.links.links)
@@ -218,12 +234,7 @@
             step=step.value,
             token=elected.token if elected else 0,
         )
-        self.running = False
-        if elected is None or self.is_obsolete(term):
-            poll_round.links.close()
-            self.timers.call_after(RETRY_DELAY_S, self.retry_election)
-            return
-        self.on_elected(elected, poll_round.links)
+        return elected
 
     def is_obsolete(self, term: election.Term) -> bool:
         """Return whether the election for the successor of a term is over."""
@@ -260,7 +271,7 @@
         own_name = self.directory.local_instance.name
         row = await self.answer_or_timeout(term, self.cluster.read_allocator())
         if isinstance(row, platform.Away):
-            return self.claim_reserved(term, highest)
+            return claim_reserved(term, own_name, highest)
         if row.token > term.token and row.allocator != own_name:
             return await self.claim_after_rival(term, row, highest)
         return await self.claim_row(term, row, highest)
@@ -279,7 +290,8 @@
         if term.reserved_token(self.directory.local_instance.name) is not None:
             slow = platform.Away(detail='slow')
             self.timers.call_after(STORE_TIMEOUT_S, lambda: race.resolve(slow))
-        defer.ensureDeferred(call).addCallback(race.resolve)
+        reading = defer.ensureDeferred(store_calls.completed(call))
+        reading.addCallback(race.resolve)
         return answer
 
     async def claim_after_rival(
@@ -311,7 +323,7 @@
             term, self.cluster.claim(row, token, own_name)
         )
         if isinstance(claimed, platform.Away):
-            return self.claim_reserved(term, highest)
+            return claim_reserved(term, own_name, highest)
         if not isinstance(claimed, pool.Claimed):
             return None
         reachable = [
@@ -327,17 +339,26 @@
             reserved_token_base=token,
         )
 
-    def claim_reserved(
-        self, term: election.Term, highest: values.Token
-    ) -> election.Term | None:
-        """Use the token that is reserved for this instance, if there is one."""
-        own_name = self.directory.local_instance.name
-        token = term.reserved_token(own_name, highest)
-        if token is None:
-            return None
-        return election.Term(
-            token=token,
-            allocator=own_name,
-            successors=term.successors,
-            reserved_token_base=term.reserved_token_base,
-        )
+
+def claim_reserved(
+    term: election.Term, name: values.InstanceName, highest: values.Token
+) -> election.Term | None:
+    """Return the term with the token that is reserved for an instance.
+
+    Args:
+        term: Term of the lost allocator.
+        name: Name of the instance.
+        highest: Highest token that any polled instance has seen.
+
+    Returns:
+        The new term, or none if no token is reserved or it is outdated.
+    """
+    token = term.reserved_token(name, highest)
+    if token is None:
+        return None
+    return election.Term(
+        token=token,
+        allocator=name,
+        successors=term.successors,
+        reserved_token_base=term.reserved_token_base,
+    )
--- a/packages/guavaroad/src/guavaroad/services/pool/configuration_watch.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/configuration_watch.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from guavaroad.domain.pool import peer_messages, routing
-from guavaroad.ports import platform, pool, timers
+from guavaroad.ports import logs, platform, pool, timers
 from guavaroad.services.pool import decision_log
 
 # Delay after a failed read, in seconds.
@@ -17,6 +17,7 @@
 # Least time for which the store waits for a change, in seconds. Reads that it
 # answers sooner without a change are delayed like failed ones.
 MIN_WAIT_S: Final = 0.05
+_log: Final = logs.logger_of('configuration')
 
 
 class ConfigurationWatch:
@@ -92,13 +93,28 @@
         position: int | None = None
         while True:
             began_s = self.timers.now()
-            change = await self.cluster.config(position)
             before = position
-            position = await self.process(change)
+            position = await self.read_next(position)
             elapsed_s = self.timers.now() - began_s
             if position == before and elapsed_s < MIN_WAIT_S:
                 await self.retry_delay()
 
+    async def read_next(self, position: int | None) -> int | None:
+        """Read and apply the next change, or log why that has failed.
+
+        Args:
+            position: Position of the last read; none to read from the start.
+
+        Returns:
+            The position of the next read; none to read from the start.
+        """
+        try:
+            return await self.process(await self.cluster.config(position))
+        except Exception as error:  # noqa: BLE001 - goes on with the next read
+            _log.opt(exception=error).error('configuration was not read')
+            await self.retry_delay()
+            return None
+
     async def process(
         self, change: pool.ConfigText | platform.Away
     ) -> int | None:
--- a/packages/guavaroad/src/guavaroad/services/pool/store_reader.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/store_reader.py
@@ -6,7 +6,7 @@
 
 from guavaroad.domain.pool import allocator, worker
 from guavaroad.ports import platform, pool
-from guavaroad.services.pool import dependencies, directory
+from guavaroad.services.pool import dependencies, directory, store_calls
 
 WorkerInfos = tuple[worker.WorkerInfo, ...]
 OnRows = Callable[[pool.WorkerRows, WorkerInfos], object]
@@ -55,7 +55,7 @@
 
     async def fetch_workers(self) -> None:
         """Read the worker list and apply it."""
-        read = await self.cluster.workers()
+        read = await store_calls.completed(self.cluster.workers())
         self.pending.discard('workers')
         match read:
             case pool.WorkerRows():
@@ -84,7 +84,7 @@
 
     async def fetch_directory(self) -> None:
         """Read the directory of instances and replace the local copy."""
-        read = await self.cluster.instances()
+        read = await store_calls.completed(self.cluster.instances())
         self.pending.discard('directory')
         if not isinstance(read, platform.Away):
             self.directory.replace(read)
