Answer a request that fails in its handler as one of unknown outcome

500 is no status that the users' pages name, and the request may have been carried out before the error: 504 has the client ask again under the same id. A failing action of the allocator is a line of the decision log, which is limited, instead of one of the general log. The handshake names its method, and its head is built only when it is due.

--- a/features/pool/unforeseen_errors.feature
+++ b/features/pool/unforeseen_errors.feature
@@ -46,4 +46,4 @@
 
   Scenario: A request that fails in its handler is answered
     When two requests arrive, and the handler of the first one fails
-    Then the first one is answered with 500 and the second one with 200
+    Then the first one is answered with 504 and the second one with 200
--- a/packages/guavaroad/src/guavaroad/adapters/http_connection.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_connection.py
@@ -64,6 +64,7 @@
     on the same connection reaches the same process or none, however late.
 
     Attributes:
+        method: HTTP method.
         path: Path and query.
         body: Request body.
         expected: Identity of the process that the request is meant for.
@@ -71,6 +72,7 @@
             or 0 if it contains none.
     """
 
+    method: str
     path: str
     body: bytes
     expected: int
@@ -99,7 +101,6 @@
         timeout_s: Time-out of the exchange, connecting included, in seconds.
         on_exchange: Called once with the outcome.
         handshake: Handshake that has to precede it on its connection, if any.
-        handshake_head: Request line and headers of the handshake.
         connection: Connection that it was given to, if any.
         timer: Time-out timer; none once the outcome is reported.
     """
@@ -109,7 +110,6 @@
     timeout_s: float
     on_exchange: OnExchange
     handshake: Handshake | None = None
-    handshake_head: bytes = b''
     connection: 'ClientConnection | None' = None
     timer: Any = None
 
@@ -165,7 +165,8 @@
             self.write(request.encoded())
             return
         self.pending_handshake = handshake
-        self.write(encode_request(request.handshake_head, handshake.body))
+        head = self.pool.head_of(handshake.method, handshake.path)
+        self.write(encode_request(head, handshake.body))
 
     def write(self, encoded: bytes) -> None:
         """Write an encoded request, and prepare for its response."""
@@ -297,8 +298,8 @@
             timeout_s: Time-out, connecting included, in seconds.
             on_exchange: Called once with the outcome.
             handshake: Handshake that has to precede the request on its
-                connection, if any. It uses the same method, and is repeated
-                only for another expected identity.
+                connection, if any. It is repeated only if it expects another
+                process than the last one on that connection has shown.
         """
         request = Request(
             head=self.head_of(method, path),
@@ -307,8 +308,6 @@
             on_exchange=on_exchange,
             handshake=handshake,
         )
-        if handshake is not None:
-            request.handshake_head = self.head_of(method, handshake.path)
         request.timer = self.reactor.callLater(
             timeout_s, self.on_timeout, request
         )
--- a/packages/guavaroad/src/guavaroad/adapters/http_listener.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_listener.py
@@ -20,6 +20,9 @@
 
 # Pending requests of one connection; with more it is aborted.
 MAX_PIPELINED_REQUESTS: Final = 16
+# Status of a request that fails in its handler. It may have been carried out,
+# so that its client has to take the outcome for unknown.
+FAILURE_STATUS: Final = HTTPStatus.GATEWAY_TIMEOUT
 # Characters of a request target in a log line.
 MAX_LOGGED_TARGET: Final = 200
 _log: Final = logs.logger_of('http')
@@ -157,7 +160,7 @@
                 request.method,
                 request.target[:MAX_LOGGED_TARGET],
             )
-            request.answer(Answer(status=HTTPStatus.INTERNAL_SERVER_ERROR))
+            request.answer(Answer(status=FAILURE_STATUS))
 
     def connection_count(self) -> int:
         """Return the number of open connections."""
--- a/packages/guavaroad/src/guavaroad/services/pool/action_executor.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/action_executor.py
@@ -1,10 +1,9 @@
 """Executes the allocator's actions."""
 
+import traceback
 from collections.abc import Callable
-from typing import Final
 
 from guavaroad.domain.pool import actions, allocator
-from guavaroad.ports import logs
 from guavaroad.services.pool import (
     agent_calls,
     decision_log,
@@ -13,8 +12,6 @@
     status_poller,
 )
 
-_log: Final = logs.logger_of('allocator')
-
 
 class ActionExecutor:
     """Sends notifications of owners, orders and polls.
@@ -61,7 +58,12 @@
             try:
                 self.execute(action)
             except Exception as error:  # noqa: BLE001 - go on with the others
-                _log.opt(exception=error).error('{} failed', action)
+                self.decision_log.log_event(
+                    'action_failed',
+                    action=type(action).__name__,
+                    detail=repr(error),
+                    traceback=traceback.format_exc(),
+                )
         self.calls.starts.flush()
 
     def execute(self, action: actions.Action) -> None:
