--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -35,31 +35,32 @@
     return '[' * depth + ']' * depth
 
 
-def entry_text(oddity):
-    """Return the text of an entry of a worker with an oddity."""
-    marker = '"?"'
-    digits = {'30': '9' * 30, '5000': '9' * 5000}
-    words = oddity.split()
-    changes = {
+# Text of one field of an entry, by its oddity.
+ODD_FIELDS = types.MappingProxyType(
+    {
         'nesting 5000 deep in a field without a use': ('Version', nested(5000)),
         'nesting 5000 deep in its capacity': ('Capacity', nested(5000)),
+        'a start time of 30 digits': ('born', '9' * 30),
+        'a start time of 5000 digits': ('born', '9' * 5000),
+        'a capacity of 30 digits': ('Capacity', '{"Cpu":%s}' % ('9' * 30)),
         'a capacity of 1e400': ('Capacity', '{"Cpu":1e400}'),
         'the port 99999': ('Address', '"127.0.0.1:99999"'),
         'the port 8_0': ('Address', '"127.0.0.1:8_0"'),
-        'a port of 5000 digits': ('Address', f'"127.0.0.1:{digits["5000"]}"'),
+        'a port of 5000 digits': ('Address', '"127.0.0.1:%s"' % ('9' * 5000)),
         'a line break after its port': (
             'Address',
             json.dumps('127.0.0.1:80\n'),
         ),
     }
+)
+
+
+def entry_text(oddity):
+    """Return the text of an entry of a worker with an oddity."""
     if oddity == 'nesting 5000 deep in place of an object':
         return nested(5000)
-    if oddity.startswith('a start time'):
-        changes[oddity] = ('born', digits[words[4]])
-    elif oddity.startswith('a capacity of 30'):
-        changes[oddity] = ('Capacity', f'{{"Cpu":{digits["30"]}}}')
-    field, text = changes[oddity]
-    return json.dumps(dict(ENTRY) | {field: '?'}).replace(marker, text)
+    field, text = ODD_FIELDS[oddity]
+    return json.dumps(dict(ENTRY) | {field: '?'}).replace('"?"', text)
 
 
 @behave.when('another writer adds an entry with {oddity}')
