--- a/tools/run_scenarios.py
+++ b/tools/run_scenarios.py
@@ -102,7 +102,9 @@
     ]
     return tuple(
         ScenarioResult(
-            name=f'{feature}: {element["name"]}', status=element['status']
+            # Names of outlines end with a space if their examples have none.
+            name=f'{feature}: {element["name"]}'.rstrip(),
+            status=element['status'],
         )
         for feature, element in elements
     )
