--- a/review/standins_2/fleets.py
+++ b/review/standins_2/fleets.py
@@ -14,6 +14,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 READY_TIMEOUT_S = 30
 POLL_S = 0.1
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+BYTES_PER_MB = 1_048_576
 # The ports of a node: front, ready, internal, metrics.
 PORTS = 4
 SETTINGS = """
@@ -76,6 +78,8 @@
         front: Port for clients.
         ready: Port for readiness checks.
         child: The process.
+        settings: Its settings file.
+        peer_address: Address that other nodes dial.
     """
 
     def __init__(self, *, name: str, zone: str) -> None:
@@ -87,6 +91,8 @@
         self.internal = ports[2]
         self.metrics = ports[3]
         self.child: subprocess.Popen | None = None
+        self.settings = pathlib.Path()
+        self.peer_address = ''
 
     async def start(
         self,
@@ -111,12 +117,14 @@
                 store=store_port,
             )
         )
-        self.spawn(settings, f'{wire.HOST}:{peers.port}')
-        partition.zones[self.child.pid] = self.zone
+        self.settings = settings
+        self.peer_address = f'{wire.HOST}:{peers.port}'
+        self.respawn()
+        partition.zones[self.process_id()] = self.zone
 
-    def spawn(self, settings: pathlib.Path, peer_address: str) -> None:
+    def respawn(self) -> None:
         """Start the process, with a log beside its settings."""
-        with settings.with_suffix('.log').open('ab') as log:
+        with self.settings.with_suffix('.log').open('ab') as log:
             self.child = subprocess.Popen(
                 deploy_command(),
                 cwd=ROOT,
@@ -125,14 +133,31 @@
                     'HOME': os.environ.get('HOME', '/'),
                     'PYTHONPATH': 'target/deps',
                     'PYTHONDONTWRITEBYTECODE': '1',
-                    'GUAVAROAD_SETTINGS': str(settings),
+                    'GUAVAROAD_SETTINGS': str(self.settings),
                     'GUAVAROAD_METRICS_PORT': str(self.metrics),
-                    'GUAVAROAD_PEER_ADDRESS': peer_address,
+                    'GUAVAROAD_PEER_ADDRESS': self.peer_address,
                 },
                 stdout=log,
                 stderr=log,
             )
 
+    def process_id(self) -> int:
+        """Return the id of the process; 0 if there is none."""
+        return 0 if self.child is None else self.child.pid
+
+    def memory_mb(self) -> int:
+        """Return the resident memory of the process; 0 if it has ended."""
+        try:
+            text = pathlib.Path(f'/proc/{self.process_id()}/statm').read_text()
+        except OSError:
+            return 0
+        return int(text.split()[1]) * PAGE_BYTES // BYTES_PER_MB
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        if self.child is not None:
+            self.child.send_signal(number)
+
     async def wait_ready(self) -> None:
         """Wait until its readiness check succeeds."""
         for _ in range(int(READY_TIMEOUT_S / POLL_S)):
--- a/review/standins_2/minions.py
+++ b/review/standins_2/minions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 import time
 from collections.abc import Callable
 
@@ -16,6 +17,8 @@
 CONFLICT = 409
 OTHER_INCARNATION = 421
 MAX_PERCENT = 99
+# Delay of the orders that are carried out late, in seconds.
+LATE_S = (2, 12)
 # Ends in one report.
 MAX_ENDS = 500
 CAPACITY_CPU = 32_000
@@ -135,6 +138,9 @@
         minions: Minions by id.
         holders: Minions on which a task runs, by task.
         on_start: Called with the minion and the order of each start.
+        late_share: Share of the orders that get no answer and are carried out
+            some seconds later.
+        random: Chooses these orders.
     """
 
     def __init__(self, *, store: stores.Store, record: records.Record) -> None:
@@ -143,6 +149,8 @@
         self.minions: dict[str, Minion] = {}
         self.holders: dict[str, set[str]] = {}
         self.on_start: Callable[[Minion, dict], None] = ignore
+        self.late_share = float(0)
+        self.random = random.Random()
 
     async def add(self, minion: 'Minion') -> None:
         """Add a minion, and start it."""
@@ -248,9 +256,32 @@
             case 'hold':
                 await self.hold(channel, life, order)
             case 'run-start':
-                await self.answer(channel, life, self.start(life, order))
+                await self.carry_out(channel, life, order, self.start)
             case 'run-stop':
-                await self.answer(channel, life, self.stop(life, order))
+                await self.carry_out(channel, life, order, self.stop)
+
+    async def carry_out(
+        self,
+        channel: wire.Channel,
+        life: Life,
+        order: dict,
+        action: Callable[[Life, dict], str],
+    ) -> None:
+        """Carry out an order and answer it, or carry it out later."""
+        if self.pool.random.random() >= self.pool.late_share:
+            await self.answer(channel, life, action(life, order))
+            return
+        self.pool.record.add(
+            'late',
+            order=action.__name__,
+            task=order['Task'],
+            run=order['Run'],
+            minion=self.name,
+        )
+        await asyncio.sleep(self.pool.random.uniform(*LATE_S))
+        if life is self.life:
+            action(life, order)
+        channel.abort()
 
     async def answer(
         self, channel: wire.Channel, life: Life, reason: str
@@ -326,6 +357,11 @@
         self.life = None
         self.server.reset()
 
+    async def move(self) -> None:
+        """Listen at another address, and at the former one no more."""
+        await self.server.stop()
+        await self.server.start()
+
     def restart(self, labels: tuple[str, ...]) -> None:
         """Begin a new life under the same id, perhaps as another kind."""
         self.labels = labels
--- a/review/standins_2/partitions.py
+++ b/review/standins_2/partitions.py
@@ -10,8 +10,9 @@
 
 LOOPBACK_HEX = '0100007F'
 TCP_TABLE = pathlib.Path('/proc/net/tcp')
-# Position of the inode behind the addresses.
-INODE_FIELD = 6
+# Positions in a line of the table.
+ENDS = slice(1, 3)
+INODE_FIELD = 9
 
 
 class Partition:
@@ -20,6 +21,7 @@
     Attributes:
         zones: Zone of each process, by its id.
         cut_zone: Zone that is cut off from the others; empty for none.
+        ends: Inode of each socket, by both its addresses.
         inodes: Process of each socket at the last look.
         healed: Set when the partition ends.
     """
@@ -27,11 +29,14 @@
     def __init__(self) -> None:
         self.zones: dict[int, str] = {}
         self.cut_zone = ''
+        self.ends: dict[str, str] = {}
         self.inodes: dict[str, int] = {}
         self.healed = asyncio.Event()
 
     def cut(self, zone: str) -> None:
         """Cut a zone off."""
+        self.ends = inodes_by_ends()
+        self.inodes = sockets_of(self.zones)
         self.cut_zone = zone
         self.healed.clear()
 
@@ -46,7 +51,10 @@
 
     def zone_of(self, client_port: int, server_port: int) -> str:
         """Return the zone of a client's process; empty if unknown."""
-        inode = inode_of(client_port, server_port)
+        ends = ' '.join(map(address_of, (client_port, server_port)))
+        if ends not in self.ends:
+            self.ends = inodes_by_ends()
+        inode = self.ends.get(ends, '')
         if inode not in self.inodes:
             self.inodes = sockets_of(self.zones)
         return self.zones.get(self.inodes.get(inode, 0), '')
@@ -62,11 +70,14 @@
         return not source or is_inside != (target == self.cut_zone)
 
 
-def inode_of(client_port: int, server_port: int) -> str:
-    """Return the inode of the client's socket; empty if it is gone."""
-    ends = ' '.join(map(address_of, (client_port, server_port)))
-    _, is_found, line = TCP_TABLE.read_text().partition(f': {ends} ')
-    return line.split()[INODE_FIELD] if is_found else ''
+def inodes_by_ends() -> dict[str, str]:
+    """Return the inode of each socket, by both its addresses."""
+    found = {}
+    for line in TCP_TABLE.read_text().splitlines():
+        fields = line.split()
+        ends = ' '.join(fields[ENDS])
+        found[ends] = fields[INODE_FIELD]
+    return found
 
 
 def address_of(port: int) -> str:
--- a/review/standins_2/wire.py
+++ b/review/standins_2/wire.py
@@ -123,6 +123,7 @@
         handler: Called with each request.
         port: Its port.
         channels: Open connections.
+        listener: Accepts connections.
     """
 
     zone: str
@@ -130,10 +131,18 @@
     handler: Handler
     port: int = 0
     channels: set[Channel] = dataclasses.field(default_factory=set)
+    listener: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Start to listen."""
-        self.port = await listen(self.on_connected)
+        self.listener = await listen(self.on_connected)
+        self.port = port_of(self.listener)
+
+    async def stop(self) -> None:
+        """Stop to listen."""
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
 
     async def on_connected(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -186,7 +195,7 @@
 
     async def start(self) -> None:
         """Start to listen."""
-        self.port = await listen(self.on_connected)
+        self.port = port_of(await listen(self.on_connected))
 
     async def on_connected(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -226,11 +235,17 @@
     writer.close()
 
 
-async def listen(on_connected: Callable[..., Awaitable[None]]) -> int:
-    """Listen on a free port, and return it."""
-    server = await asyncio.start_server(
+async def listen(
+    on_connected: Callable[..., Awaitable[None]],
+) -> asyncio.Server:
+    """Listen on a free port."""
+    return await asyncio.start_server(
         on_connected, HOST, 0, backlog=LISTEN_BACKLOG
     )
+
+
+def port_of(server: asyncio.Server) -> int:
+    """Return the port of a server."""
     return server.sockets[0].getsockname()[1]
 
 
