--- a/review/standins_2/fleets.py
+++ b/review/standins_2/fleets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import pathlib
 import signal
@@ -16,6 +17,7 @@
 POLL_S = 0.1
 PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 BYTES_PER_MB = 1_048_576
+CLAIMED = '"event":"token_claimed"'
 # The ports of a node: front, ready, internal, metrics.
 PORTS = 4
 SETTINGS = """
@@ -80,6 +82,8 @@
         child: The process.
         settings: Its settings file.
         peer_address: Address that other nodes dial.
+        starts: How often it was started.
+        log: Log of the process.
     """
 
     def __init__(self, *, name: str, zone: str) -> None:
@@ -93,6 +97,8 @@
         self.child: subprocess.Popen | None = None
         self.settings = pathlib.Path()
         self.peer_address = ''
+        self.starts = 0
+        self.log = pathlib.Path()
 
     async def start(
         self,
@@ -124,7 +130,9 @@
 
     def respawn(self) -> None:
         """Start the process, with a log beside its settings."""
-        with self.settings.with_suffix('.log').open('ab') as log:
+        self.starts += 1
+        self.log = self.settings.with_suffix(f'.{self.starts}.log')
+        with self.log.open('ab') as log:
             self.child = subprocess.Popen(
                 deploy_command(),
                 cwd=ROOT,
@@ -153,6 +161,16 @@
             return 0
         return int(text.split()[1]) * PAGE_BYTES // BYTES_PER_MB
 
+    def last_token(self) -> int:
+        """Return the highest token that the process has claimed, by its log."""
+        text = self.log.read_text(errors='replace')
+        events = [
+            json.loads(line)
+            for line in text.splitlines()
+            if CLAIMED in line and line.endswith('}')
+        ]
+        return max((event['token'] for event in events), default=0)
+
     def send_signal(self, number: int) -> None:
         """Send a signal to the process."""
         if self.child is not None:
