Start no tasks in availability zones that the operator evacuates

Cause: the operator's rows `evacuate/ZONE` were not read, so tasks started in a zone that was to get nothing.

Change: each instance reads them with the configuration, in the same wait for changes, and keeps them with the version of the store. Heartbeats and the first message of a follower carry them, and the later version wins, so that an allocator without the store has them too. Workers of an evacuated zone are not usable; their runs go on.

--- a/packages/guavaroad/src/guavaroad/domain/pool/peer_messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/peer_messages.py
@@ -3,7 +3,12 @@
 import msgspec
 
 from guavaroad.domain import names
-from guavaroad.domain.pool import agent_messages, messages, values
+from guavaroad.domain.pool import (
+    agent_messages,
+    evacuations,
+    messages,
+    values,
+)
 
 
 class Instance(msgspec.Struct, frozen=True, array_like=True):
@@ -67,10 +72,12 @@
         config_version: Configuration version that it serves; negative for
             none.
         list_age_ms: Age of its list of workers, in milliseconds.
+        evacuated: Evacuated availability zones.
     """
 
     config_version: int
     list_age_ms: int
+    evacuated: evacuations.Evacuations = evacuations.NO_EVACUATIONS
 
 
 class OwnerBeat(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -79,9 +86,11 @@
     Attributes:
         config_version: Configuration version that it serves; negative for
             none.
+        evacuated: Evacuated availability zones.
     """
 
     config_version: int
+    evacuated: evacuations.Evacuations = evacuations.NO_EVACUATIONS
 
 
 class FollowerState(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -91,11 +100,13 @@
         agent_version: Version of the messages to agents that it understands.
         directory_digest: Digest of its directory.
         worker_list_digest: Digest of the worker list that it was last sent.
+        evacuated: Evacuated availability zones.
     """
 
     agent_version: int
     directory_digest: int
     worker_list_digest: int
+    evacuated: evacuations.Evacuations = evacuations.NO_EVACUATIONS
 
 
 class Superseded(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -151,6 +151,7 @@
     """
     if (
         worker_state.worker_info.draining
+        or worker_state.is_evacuated
         or not worker_state.is_synced
         or worker_state.unclaimed_runs
     ):
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -90,6 +90,7 @@
         previous_started_ms: Start of the previous incarnation, in milliseconds
             since 1970; 0 if none is known.
         incarnation_seen_s: Time at which this incarnation was first observed.
+        is_evacuated: Whether its availability zone must get no tasks.
     """
 
     worker_info: WorkerInfo
@@ -115,6 +116,7 @@
     unlisted_since_s: float | None = None
     previous_started_ms: int = 0
     incarnation_seen_s: float = 0
+    is_evacuated: bool = False
 
     def is_from_earlier_incarnation(
         self, started_ms: int, sent_s: float
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_registry.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_registry.py
@@ -6,6 +6,7 @@
 import dataclasses
 from collections.abc import Iterable
 
+from guavaroad.domain import names
 from guavaroad.domain.pool import (
     actions,
     allocator_state,
@@ -21,6 +22,7 @@
     Attributes:
         state: State of the allocator.
         reports: Handles a worker that has restarted.
+        evacuated_zones: Availability zones whose workers get no tasks.
     """
 
     def __init__(
@@ -31,6 +33,7 @@
     ) -> None:
         self.state = state
         self.reports = reports
+        self.evacuated_zones: frozenset[names.AvailabilityZone] = frozenset()
 
     def update(self, listed: Iterable[worker.WorkerInfo], now_s: float) -> None:
         """Apply the platform's list of workers.
@@ -59,6 +62,7 @@
         )
         worker_state.resize(worker_info)
         self.state.workers[worker_info.worker_id] = worker_state
+        self.mark_evacuated(worker_state)
         self.state.update_capacity(worker_state)
         self.state.add_action(
             actions.WorkerAdded(worker_id=worker_info.worker_id)
@@ -94,4 +98,25 @@
                 worker_info, started_ms=max(started_ms, old.started_ms)
             )
         )
+        self.mark_evacuated(worker_state)
         self.state.update_capacity(worker_state)
+
+    def evacuate(self, zones: Iterable[names.AvailabilityZone]) -> None:
+        """Start no tasks on the workers of these availability zones.
+
+        Runs that are in progress go on.
+
+        Args:
+            zones: All zones that are evacuated.
+        """
+        evacuated = frozenset(zones)
+        if evacuated == self.evacuated_zones:
+            return
+        self.evacuated_zones = evacuated
+        for worker_state in self.state.workers.values():
+            self.mark_evacuated(worker_state)
+
+    def mark_evacuated(self, worker_state: worker.Worker) -> None:
+        """Record whether the zone of a worker is evacuated."""
+        zone = worker_state.worker_info.zone
+        worker_state.is_evacuated = zone in self.evacuated_zones
--- a/packages/guavaroad/src/guavaroad/ports/pool.py
+++ b/packages/guavaroad/src/guavaroad/ports/pool.py
@@ -7,6 +7,7 @@
 from guavaroad.domain import names
 from guavaroad.domain.pool import (
     election,
+    evacuations,
     outcomes,
     peer_messages,
     routing,
@@ -140,15 +141,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigText:
-    """Configuration as stored by the platform, still encoded.
+    """What the operator has stored; the configuration is still encoded.
 
     Attributes:
         body: Encoded configuration; None if there is none.
-        position: Position after which to wait for the next change.
+        position: Position after which to wait for the next change: the version
+            of the store.
+        zones: Evacuated availability zones.
     """
 
     body: bytes | None
     position: int
+    zones: evacuations.ZoneChanges = evacuations.NO_CHANGES
 
 
 class ClusterPort(Protocol):
--- a/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
@@ -38,6 +38,7 @@
     Attributes:
         term: Term of this allocator.
         links: Links to the instances.
+        evacuations: Evacuated availability zones.
         machine: State machine that makes the decisions.
         store_reader: Keeps the worker list up to date.
         executor: Executes the decisions.
@@ -63,6 +64,7 @@
         self.links = links
         self.dependencies = deps
         self.on_fenced = on_fenced
+        self.evacuations = parts.configuration.evacuations
         self.machine = allocator.Allocator(
             token=term.token, now_s=deps.timers.now(), seed=term.token
         )
@@ -168,6 +170,7 @@
             ),
             subscribe(DIRECTORY_PERIOD_S, self.store_reader.read_directory),
         ]
+        self.apply_evacuations()
         if inherited is not None:
             self.store_reader.apply_worker_rows(inherited)
         self.store_reader.read_workers()
@@ -238,9 +241,15 @@
 
     def tick(self) -> None:
         """Make the time-driven decisions."""
+        self.apply_evacuations()
         self.machine.tick(self.dependencies.timers.now())
         self.dispatch()
 
+    def apply_evacuations(self) -> None:
+        """Start no tasks in the evacuated zones."""
+        zones = self.evacuations.current.zones
+        self.machine.worker_registry.evacuate(zones)
+
     def schedule_dispatch(self) -> None:
         """Dispatch at the end of this reactor iteration."""
         if not self.is_scheduled and not self.stopped:
--- a/packages/guavaroad/src/guavaroad/services/pool/allocator_inbox.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/allocator_inbox.py
@@ -72,6 +72,7 @@
                 self.calls.starts.on_not_launched(name, message)
             case peer_messages.FollowerState():
                 self.calls.on_announced(name, message.agent_version)
+                self.configuration.evacuations.receive(message.evacuated, name)
                 self.follow_requests.send_mode(name)
                 self.follow_requests.broadcaster.record_state(name, message)
             case peer_messages.Superseded():
@@ -97,6 +98,7 @@
         """Process a message about shared state."""
         match message:
             case peer_messages.OwnerBeat():
+                self.configuration.evacuations.receive(message.evacuated, name)
                 self.follow_requests.broadcaster.send_configuration(
                     name, message.config_version, self.timers.now()
                 )
--- a/packages/guavaroad/src/guavaroad/services/pool/configuration_watch.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/configuration_watch.py
@@ -10,7 +10,7 @@
 
 from guavaroad.domain.pool import peer_messages, routing
 from guavaroad.ports import logs, platform, pool, timers
-from guavaroad.services.pool import decision_log
+from guavaroad.services.pool import decision_log, evacuation_watch
 
 # Delay after a failed read, in seconds.
 RETRY_DELAY_S: Final = 0.2
@@ -27,6 +27,7 @@
         current: The newest configuration; none before the first.
         body: Serialised form of the newest configuration.
         table: Routing table of the newest configuration.
+        evacuations: Evacuated availability zones, from the same reads.
         reachable: Whether the last read of the store succeeded.
         on_change: Called with each new configuration.
     """
@@ -48,6 +49,7 @@
         self.current: routing.Configuration | None = None
         self.body = b''
         self.table = routing.RouteTable(routes=())
+        self.evacuations = evacuation_watch.EvacuationWatch(log=log)
         self.reachable = True
 
     def version(self) -> int:
@@ -126,6 +128,7 @@
         match change:
             case pool.ConfigText():
                 self.record_reachable(reachable=True, detail='')
+                self.evacuations.apply_read(change.zones, change.position)
                 if change.body is not None:
                     self.apply(change.body, 'store')
                 return change.position
--- a/packages/guavaroad/src/guavaroad/services/pool/heartbeat_responder.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/heartbeat_responder.py
@@ -63,7 +63,13 @@
         """
         now_s = self.timers.now()
         newest = self.configuration.version()
-        link.send(peer_messages.OwnerBeat(config_version=newest))
+        evacuated = self.configuration.evacuations
+        evacuated.receive(beat.evacuated, term.allocator)
+        link.send(
+            peer_messages.OwnerBeat(
+                config_version=newest, evacuated=evacuated.current
+            )
+        )
         served = beat.config_version
         if self.resend_backoff.is_due(
             term.allocator,
--- a/packages/guavaroad/src/guavaroad/services/pool/heartbeat_sender.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/heartbeat_sender.py
@@ -69,6 +69,7 @@
         return peer_messages.AllocatorBeat(
             config_version=self.configuration.version(),
             list_age_ms=units.to_ms(age_s),
+            evacuated=self.configuration.evacuations.current,
         )
 
     def check(self) -> None:
--- a/packages/guavaroad/src/guavaroad/services/pool/shared_state.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/shared_state.py
@@ -68,4 +68,5 @@
                 self.directory.all_instances()
             ),
             worker_list_digest=state_digest.digest_workers(worker_infos),
+            evacuated=self.configuration.evacuations.current,
         )
--- a/standins/src/guavaroad_standins/pool_cluster.py
+++ b/standins/src/guavaroad_standins/pool_cluster.py
@@ -7,7 +7,14 @@
 
 from twisted.internet import defer
 
-from guavaroad.domain.pool import election, peer_messages, values, worker
+from guavaroad.domain import names
+from guavaroad.domain.pool import (
+    election,
+    evacuations,
+    peer_messages,
+    values,
+    worker,
+)
 from guavaroad.ports import platform, pool
 
 STORE_LATENCY_S: Final = 0.004
@@ -24,6 +31,7 @@
         worker_infos: List of workers.
         config: Text of the configuration.
         position: Version counter of the configuration.
+        evacuated: Evacuated availability zones.
     """
 
     def __init__(self) -> None:
@@ -36,6 +44,7 @@
         self.worker_infos: tuple[worker.WorkerInfo, ...] = ()
         self.config = b'1'
         self.position = 1
+        self.evacuated: frozenset[names.AvailabilityZone] = frozenset()
 
 
 class MemoryCluster:
@@ -111,7 +120,11 @@
         if self.is_disconnected:
             return platform.Away(detail='store unreachable')
         return pool.ConfigText(
-            body=self.store.config, position=self.store.position
+            body=self.store.config,
+            position=self.store.position,
+            zones=evacuations.ZoneChanges(
+                evacuated=self.store.evacuated, is_complete=True
+            ),
         )
 
 
