Start jobs that reached no worker at once when their allocator is lost

A poll ends when more than half of the other instances follow no allocator. Instances in the zone of the lost allocator take their turns last. An instance reads the row when it starts, and does not wait for a rival that has restarted since.

--- a/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -75,11 +75,12 @@
         # been in transit since.
         sent_s = self.linked_s.get(owner, now_s)
         arrived_s = sent_s - declared.age_ms / units.MS_PER_S
-        if declared.redeclared and not self.state.closed.covers(arrived_s):
+        is_covered = declared.starts_known or not declared.redeclared
+        if not is_covered and not self.state.closed.covers(arrived_s):
             return True
         if self.state.closed.started.may_contain(declared.job):
             return True
-        return declared.unconfirmed or self.has_reported_run(declared)
+        return declared.may_hide_starts() or self.has_reported_run(declared)
 
     def record_withdrawn(self, job_id: values.JobId) -> None:
         """Record that a job that is not tracked may have run before.
@@ -146,7 +147,8 @@
 
 def shows_start(declared: messages.Declare) -> bool:
     """Return whether tasks may have started by what the owner knows."""
-    return declared.unconfirmed or any(task.run for task in declared.tasks)
+    is_started = any(task.run for task in declared.tasks)
+    return is_started or declared.may_hide_starts()
 
 
 def missed_give_up(
--- a/packages/guavaroad/src/guavaroad/domain/pool/election.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/election.py
@@ -9,7 +9,7 @@
 import dataclasses
 import enum
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from guavaroad.domain import names, units
@@ -119,14 +119,19 @@
     term: Term,
     name: values.InstanceName,
     instances: Iterable[values.InstanceName],
+    zones: Mapping[values.InstanceName, names.AvailabilityZone],
     interval_s: float = TURN_INTERVAL_S,
 ) -> float:
     """Return how long a candidate waits for its turn, in seconds.
 
+    The zone of the lost allocator may be cut off or without power: its
+    instances come after the others.
+
     Args:
         term: Term of the lost allocator.
         name: Name of the candidate.
         instances: All tracked instances by rank, highest first.
+        zones: Zone of each tracked instance.
         interval_s: Interval between two turns, in seconds.
     """
     ranked = tuple(instances)
@@ -137,10 +142,34 @@
         for candidate in (*term.successors, *others)
         if candidate in candidates
     ]
+    lost_zone = zones.get(term.allocator)
+    order.sort(key=lambda candidate: zones.get(candidate) == lost_zone)
     turn = order.index(name) if name in order else LAST_TURN
     return FIRST_TURN_DELAY_S + interval_s * min(turn, LAST_TURN)
 
 
+def is_conclusive(
+    *,
+    term: Term,
+    others: int,
+    answers: Iterable[peer_messages.PollAnswer],
+) -> bool:
+    """Return whether further answers to a poll need not be awaited.
+
+    Answers of a cut-off zone never come. Where most instances follow no
+    allocator, a new one serves more clients than the previous one does.
+
+    Args:
+        term: Term of the lost allocator.
+        others: Number of other tracked instances.
+        answers: Answers that have arrived.
+    """
+    received = tuple(answers)
+    if any(shows_allocator(answer, term) for answer in received):
+        return False
+    return len(received) * 2 > others
+
+
 def decide_after_poll(
     *,
     term: Term,
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -79,7 +79,7 @@
             return
         if self.refuse_if_overloaded(job, now_s):
             return
-        if declared.unconfirmed:
+        if declared.may_hide_starts():
             job.unconfirmed_until_s = now_s + UNCONFIRMED_S
         self.state.jobs[job.job_id] = job
         for task, declared_task in zip(job.tasks, declared.tasks, strict=True):
@@ -112,10 +112,11 @@
             declared: Declaration of the new owner.
             now_s: Current time, in seconds.
         """
-        if declared.unconfirmed:
+        may_hide_starts = declared.may_hide_starts()
+        if may_hide_starts:
             job.unconfirmed_until_s = now_s + UNCONFIRMED_S
         for task, declared_task in zip(job.tasks, declared.tasks, strict=False):
-            if declared_task.run < task.next_run and not declared.unconfirmed:
+            if declared_task.run < task.next_run and not may_hide_starts:
                 continue
             job.may_have_run_before = True
             after = values.RunNumber(declared_task.run + 1)
--- a/packages/guavaroad/src/guavaroad/domain/pool/messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/messages.py
@@ -62,6 +62,8 @@
         owner_has_payload: Whether the payload is left out, as the owner sends
             the start orders.
         attempt: Attempt that is declared; 0 if sent by an older build.
+        starts_known: Whether the tasks show every start of this attempt that
+            may have been sent, also by other allocators.
     """
 
     job: values.JobId
@@ -79,6 +81,11 @@
     redeclared: bool = False
     owner_has_payload: bool = False
     attempt: values.AttemptNumber = values.ANY_ATTEMPT
+    starts_known: bool = False
+
+    def may_hide_starts(self) -> bool:
+        """Return whether starts may have been sent that it does not show."""
+        return self.unconfirmed and not self.starts_known
 
 
 class Withdraw(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
@@ -156,6 +156,9 @@
             without the owner's knowledge.
         may_have_run_before: Whether an earlier attempt at this instance may
             have run.
+        starts_known: Whether this instance knows of every start that may have
+            been sent: no allocator was given the payload, without which
+            nothing starts.
         history: Events so far, for the log of a failure.
         timers: Timers to cancel when the job ends.
     """
@@ -170,14 +173,25 @@
     was_declared: bool = False
     unconfirmed: bool = False
     may_have_run_before: bool = False
+    starts_known: bool = True
     history: list[str] = dataclasses.field(default_factory=list)
     timers: list[Any] = dataclasses.field(default_factory=list)
 
     def may_have_started(self) -> bool:
         """Return whether a task may have started."""
-        is_unknown = self.unconfirmed or self.may_have_run_before
+        may_hide = self.unconfirmed and not self.starts_known
+        is_unknown = may_hide or self.may_have_run_before
         return is_unknown or any(task.run for task in self.tasks)
 
+    def is_unstarted(self) -> bool:
+        """Return whether no task has started, whatever an allocator decided.
+
+        A start that is decided from now on is rejected here, once the job is
+        answered.
+        """
+        is_certain = self.starts_known or not self.was_declared
+        return is_certain and not self.may_have_started()
+
     def age_ms(self, now_s: float) -> int:
         """Return the time since the arrival of the job, in milliseconds."""
         return units.to_ms(now_s - self.arrived_s)
@@ -198,6 +212,7 @@
             with_payload: Whether the allocator sends the start orders.
         """
         request = self.request
+        self.starts_known = self.starts_known and not with_payload
         return messages.Declare(
             job=request.job_id,
             pool=request.pool,
@@ -214,6 +229,7 @@
             redeclared=self.was_declared,
             owner_has_payload=not with_payload,
             attempt=self.attempt,
+            starts_known=self.starts_known,
         )
 
     def withdrawal(self) -> messages.Withdraw:
@@ -255,9 +271,9 @@
 
     def abandoned_outcome(self, reason: str) -> JobOutcome:
         """Return the outcome of a job whose end is not awaited any longer."""
-        if self.was_declared or self.may_have_started():
-            return OutcomeUnknown(reason=reason)
-        return NotRun(reason=reason)
+        if self.is_unstarted():
+            return NotRun(reason=reason)
+        return OutcomeUnknown(reason=reason)
 
     def given_up_outcome(self, message: messages.GivenUp) -> JobOutcome:
         """Return the outcome of a job that the allocator has given up."""
--- a/packages/guavaroad/src/guavaroad/services/pool/candidate.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/candidate.py
@@ -5,7 +5,12 @@
 
 from twisted.internet import defer
 
-from guavaroad.domain.pool import election, peer_messages, values
+from guavaroad.domain.pool import (
+    election,
+    peer_messages,
+    rival_claims,
+    values,
+)
 from guavaroad.ports import logs, platform, pool, timers
 from guavaroad.services.pool import (
     allocator_follower,
@@ -24,9 +29,6 @@
 # that start together are listening by then, so that their answers to a poll
 # show whether one of them allocates.
 STARTUP_DELAY_S: Final = 0.25
-# Time for a rival that has claimed the token to connect, in seconds. A rival
-# that died after its claim leaves its row in the store.
-RIVAL_TIMEOUT_S: Final = 0.5
 # Time for the store to answer while this instance has a reserved token, in
 # seconds. A healthy store takes about 10 ms.
 STORE_TIMEOUT_S: Final = 0.08
@@ -58,6 +60,7 @@
     Attributes:
         term: Term of the lost allocator.
         links: Links to the other instances.
+        began_s: Time at which it began, in seconds.
         answers: Answers by instance.
         expected: Instances that may answer.
         on_finished: Called once, when every expected instance has answered or
@@ -76,6 +79,7 @@
         self.local_instance = local_instance
         self.term = term
         self.links = links
+        self.began_s = links.timers.now()
         self.expected = expected
         self.on_finished = on_finished
         self.is_finished = False
@@ -98,9 +102,17 @@
         is_answer = isinstance(message, peer_messages.PollAnswer)
         if is_answer and name != self.local_instance.name:
             self.answers[name] = message
-        if not self.expected.difference(self.answers, self.links.failed):
+        if self.is_complete() or election.is_conclusive(
+            term=self.term,
+            others=len(self.links.directory.instances) - 1,
+            answers=self.answers.values(),
+        ):
             self.finish()
 
+    def is_complete(self) -> bool:
+        """Return whether no further answer is expected."""
+        return not self.expected.difference(self.answers, self.links.failed)
+
     def finish(self) -> None:
         """Report the answers, unless they were reported already."""
         if not self.is_finished:
@@ -117,7 +129,7 @@
         isolated_since_s: Time of the first of the consecutive polls that
             no instance has answered.
         reached: Instances that the last poll reached.
-        rivals: Token of another instance's claim, and when it was first seen.
+        rivals: Claims of other instances.
     """
 
     def __init__(
@@ -141,7 +153,7 @@
         self.running = False
         self.withdrawn = False
         self.isolated_since_s: float | None = None
-        self.rivals: dict[values.Token, float] = {}
+        self.rivals = rival_claims.RivalClaims()
         self.reached: frozenset[values.InstanceName] = frozenset()
 
     def retry_election(self) -> None:
@@ -164,6 +176,7 @@
             term=self.follower.term,
             name=self.directory.local_instance.name,
             instances=[instance.name for instance in self.directory.ranked()],
+            zones=self.directory.zones(),
             interval_s=interval_s,
         )
         self.timers.call_after(turn_s, self.poll)
@@ -226,7 +239,7 @@
         elected: election.Term | None = None
         if step is election.PollDecision.CLAIM and not self.is_obsolete(term):
             highest = election.highest_token(term, answers)
-            elected = await self.claim(term, highest)
+            elected = await self.claim(poll_round, highest)
         self.decision_log.log_event(
             'candidate_polled',
             lost_token=term.token,
@@ -257,25 +270,42 @@
         return election.PollDecision.CLAIM
 
     async def claim(
-        self, term: election.Term, highest: values.Token
+        self, poll_round: PollRound, highest: values.Token
     ) -> election.Term | None:
         """Claim the token in the store, or use a reserved token.
 
         Args:
-            term: Term of the lost allocator.
+            poll_round: Poll for the successor of the lost allocator.
             highest: Highest token that any polled instance has seen.
 
         Returns:
             The new term, or none if the claim failed.
         """
         own_name = self.directory.local_instance.name
+        term = poll_round.term
         row = await self.answer_or_timeout(term, self.cluster.read_allocator())
         if isinstance(row, platform.Away):
             return claim_reserved(term, own_name, highest)
-        if row.token > term.token and row.allocator != own_name:
-            return await self.claim_after_rival(term, row, highest)
+        if self.is_rival_expected(poll_round, row):
+            return None
         return await self.claim_row(term, row, highest)
 
+    def is_rival_expected(
+        self, poll_round: PollRound, row: election.AllocatorRow
+    ) -> bool:
+        """Return whether the instance that a row names may still connect."""
+        own_name = self.directory.local_instance.name
+        if row.token <= poll_round.term.token or row.allocator == own_name:
+            return False
+        now_s = self.timers.now()
+        self.rivals.record(row, now_s)
+        return not self.rivals.is_over(
+            row,
+            polled_s=poll_round.began_s,
+            answer=poll_round.answers.get(row.allocator),
+            now_s=now_s,
+        )
+
     def answer_or_timeout(
         self, term: election.Term, call: Coroutine[Any, Any, Answer]
     ) -> 'defer.Deferred[Answer | platform.Away]':
@@ -294,22 +324,6 @@
         reading.addCallback(race.resolve)
         return answer
 
-    async def claim_after_rival(
-        self,
-        term: election.Term,
-        row: election.AllocatorRow,
-        highest: values.Token,
-    ) -> election.Term | None:
-        """Claim the row of a rival that has not connected within its time."""
-        first_seen_s = self.rivals.get(row.token)
-        now_s = self.timers.now()
-        if first_seen_s is None:
-            self.rivals = {row.token: now_s}
-            return None
-        if now_s - first_seen_s < RIVAL_TIMEOUT_S:
-            return None
-        return await self.claim_row(term, row, highest)
-
     async def claim_row(
         self,
         term: election.Term,
@@ -362,3 +376,13 @@
         successors=term.successors,
         reserved_token_base=term.reserved_token_base,
     )
+
+
+async def remember_row(candidate: Candidate) -> None:
+    """Record the allocator's row as it is when the process starts.
+
+    It is not the claim of a rival that is about to connect.
+    """
+    row = await store_calls.completed(candidate.cluster.read_allocator())
+    if isinstance(row, election.AllocatorRow):
+        candidate.rivals.record(row, candidate.timers.now())
--- a/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
@@ -82,6 +82,7 @@
             self.finish(previous, open_jobs.OutcomeUnknown(reason='sent_again'))
         job = self.attempts.begin(request, on_outcome)
         job.unconfirmed = previous is not None
+        job.starts_known = previous is None
         if self.link is not None:
             self.declare(job)
         timeout_ms = request.client_timeout_ms
@@ -117,20 +118,20 @@
             job.was_declared = True
 
     def check_declared(self, job: open_jobs.OpenJob) -> None:
-        """Refuse a job that could not be declared to any allocator."""
-        if not job.was_declared and not job.may_have_started():
+        """Refuse a job that has no allocator and has certainly not started."""
+        if not job.declared and job.is_unstarted():
             self.finish(job, open_jobs.NotRun(reason='no_allocator'))
 
     def withdraw(self, job: open_jobs.OpenJob) -> None:
         """Withdraw a job shortly before its client times out."""
         if job.declared and self.link is not None:
             self.link.send(job.withdrawal())
-        elif not job.was_declared and not job.may_have_started():
+        elif job.is_unstarted():
             self.finish(job, open_jobs.NotRun(reason='no_allocator'))
 
     def expire(self, job: open_jobs.OpenJob) -> None:
-        """Answer a job whose outcome is still unknown."""
-        self.finish(job, open_jobs.OutcomeUnknown(reason='no_word_in_time'))
+        """Answer a job that has no outcome yet."""
+        self.finish(job, job.abandoned_outcome('no_word_in_time'))
 
     def on_client_gone(self, job: open_jobs.OpenJob) -> None:
         """Withdraw a job whose client has disconnected."""
--- a/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
@@ -113,6 +113,7 @@
         """Start to serve."""
         configuration_watch.run(self.configuration)
         self.register()
+        defer.ensureDeferred(candidate.remember_row(self.candidate))
         self.timers.subscribe(ALLOCATOR_CHECK_PERIOD_S, self.check_allocator)
         self.timers.subscribe(
             decision_log.REPORT_PERIOD_S, self.decision_log.report_suppressed
