--- a/packages/guavaroad/src/guavaroad/domain/pool/evacuations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/evacuations.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+from collections.abc import Iterable
 
 import msgspec
 
@@ -46,6 +47,25 @@
 NO_CHANGES = ZoneChanges()
 
 
+def changes_of(
+    rows: Iterable[tuple[str, bool]], *, is_complete: bool
+) -> ZoneChanges:
+    """Return what rows of the store show of evacuated zones.
+
+    Args:
+        rows: Zone of each row, and whether the row was removed, in the order of
+            the changes.
+        is_complete: Whether they are all rows.
+    """
+    is_removed = {names.AvailabilityZone(zone): gone for zone, gone in rows}
+    returned = frozenset(zone for zone in is_removed if is_removed[zone])
+    return ZoneChanges(
+        evacuated=frozenset(is_removed) - returned,
+        returned=returned,
+        is_complete=is_complete,
+    )
+
+
 def apply_changes(
     known: Evacuations, changes: ZoneChanges, version: int
 ) -> Evacuations:
