Limit leases by the last message of the owners of their runs

Cause: the allocator beyond a cut went on extending the lease of a worker while it stopped the runs of an owner that it had lost. The other side starts these runs again at a fixed time (INHERITED_LEASE_S after the owner's declaration), whatever became of the stops.

Change: no order extends a lease beyond INHERITED_LEASE_S after the last message of the owner of any run that the worker may have: starts of any job, polls, runs of closed jobs until their end is confirmed. A message counts from the last tick but one before it was read, as it may have waited in a pause.

--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
@@ -79,6 +79,7 @@
 
     def tick(self, now_s: float) -> None:
         """Make the decisions that depend on time alone."""
+        self.state.contacts.tick(now_s)
         self.runs.follow_stops(now_s)
         self.runs.refused_starts.queue_due(now_s)
         self.orphans.drop_expired(now_s)
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
@@ -12,6 +12,7 @@
     closed_jobs,
     messages,
     open_runs,
+    owner_contacts,
     placement,
     values,
     work,
@@ -56,8 +57,7 @@
         closed: How recently closed jobs ended.
         early_ends: Reported ends of tasks that no owner has declared yet.
         tasks: Tasks of declared jobs by name.
-        lost_owners: Instances whose link is lost. None of their tasks is
-            placed, since another allocator may have their jobs by now.
+        contacts: When the owners were last heard from, and which are lost.
         runs: Runs that are not known to be over.
         unconfirmed_tasks: Tasks that may still run on an unreachable worker, or
             whose run for a closed job or unclaimed run is not over.
@@ -76,7 +76,7 @@
         self.closed = closed_jobs.ClosedJobs(now_s=now_s)
         self.early_ends: dict[values.TaskName, EarlyEnd] = {}
         self.tasks: dict[values.TaskName, work.Task] = {}
-        self.lost_owners: set[values.InstanceName] = set()
+        self.contacts = owner_contacts.OwnerContacts(now_s=now_s)
         self.runs = open_runs.OpenRuns()
         self.unconfirmed_tasks: list[work.Task] = []
         self.unlisted_tasks: list[tuple[float, work.Task]] = []
--- a/packages/guavaroad/src/guavaroad/domain/pool/leases.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/leases.py
@@ -1,4 +1,8 @@
-"""The lease of all runs on one worker, on the worker's clock."""
+"""The lease of all runs on one worker, on the worker's clock.
+
+No order extends it beyond `INHERITED_LEASE_S` after the last message of the
+owner of any run that the worker may have (`owner_contacts.py`).
+"""
 
 import dataclasses
 from typing import Final
@@ -9,8 +13,14 @@
 LEASE_MS: Final = 900
 # A worker's clock may run up to 2 % slow, by the platform's documentation.
 CLOCK_DRIFT_FACTOR: Final = 1.02
-# Longest lease that a previous allocator may have granted.
+# Time after its owner was last heard from for which an allocator may let a run
+# go on, in seconds. The next allocator of the owner counts it from the owner's
+# declaration.
 INHERITED_LEASE_S: Final = 1.1
+# Shortest extension, in seconds: that for a poll that waits at the worker.
+MIN_EXTENSION_S: Final = LEASE_MS / units.MS_PER_S / 2
+# End of a lease without a limit.
+UNLIMITED_S: Final = float('inf')
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -45,14 +55,22 @@
         """Account for a lease that another allocator may have just granted."""
         self.ends_s = max(self.ends_s, now_s + INHERITED_LEASE_S)
 
-    def extend(self, now_s: float) -> int:
+    def extend(self, now_s: float, limit_s: float = UNLIMITED_S) -> int:
         """Extend the lease for the next order.
 
+        Args:
+            now_s: Current time, in seconds.
+            limit_s: Local time at which the lease must have ended, in seconds.
+
         Returns:
             End of the lease on the worker's clock, in milliseconds.
         """
         elapsed_ms = (now_s - self.clock_read_s) * units.MS_PER_S
         until_ms = int(self.clock_ms + elapsed_ms) + LEASE_MS
+        if limit_s < UNLIMITED_S:
+            limit_ms = (limit_s - self.clock_read_s) * units.MS_PER_S
+            limit_ms = self.clock_ms + limit_ms / CLOCK_DRIFT_FACTOR
+            until_ms = max(min(until_ms, int(limit_ms)), 0)
         left_s = (
             (until_ms - self.clock_ms) / units.MS_PER_S * CLOCK_DRIFT_FACTOR
         )
--- a/packages/guavaroad/src/guavaroad/domain/pool/orphans.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/orphans.py
@@ -35,7 +35,7 @@
         Returns:
             Whether the link was lost and the jobs are still tracked.
         """
-        self.state.lost_owners.discard(owner)
+        self.state.contacts.lost.discard(owner)
         return self.deadlines.pop(owner, None) is not None
 
     def on_owner_lost(
@@ -51,7 +51,7 @@
         """
         grace_s = 0 if timed_out else ORPHAN_GRACE_S
         self.deadlines[owner] = now_s + grace_s
-        self.state.lost_owners.add(owner)
+        self.state.contacts.lost.add(owner)
 
     def drop_expired(self, now_s: float) -> None:
         """Give up the jobs of owners whose deadline has passed."""
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -153,6 +153,7 @@
         worker_state.worker_info.draining
         or not worker_state.is_synced
         or worker_state.unclaimed_runs
+        or worker_state.has_silent_owner()
     ):
         return False
     unlisted_since_s = worker_state.unlisted_since_s
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
@@ -41,7 +41,7 @@
         if pool.reserve.is_due(now_s):
             pool.reserve.update(pool.capacity.runs(), now_s)
         misses = 0
-        lost_owners = self.state.lost_owners
+        lost_owners = self.state.contacts.lost | self.state.contacts.silent
         for job in pool.backlog.heads(now_s):
             if job.owner in lost_owners:
                 continue
@@ -98,7 +98,7 @@
                 task=task.name,
                 number=number,
                 payload=task.job.payload,
-                until_ms=worker_state.lease.extend(now_s),
+                until_ms=worker_state.extend_lease(now_s),
                 started_ms=worker_state.worker_info.started_ms,
                 job=task.job.job_id,
                 index=task.index,
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -270,7 +270,7 @@
     def record_done(self, task: work.Task, now_s: float) -> None:
         """Queue the tasks of the next steps, or close a complete job."""
         job = task.job
-        if job.owner in self.state.lost_owners:
+        if job.owner in self.state.contacts.lost:
             # The message about this end is lost with the link.
             self.state.early_ends[task.name] = allocator_state.EarlyEnd(
                 number=task.next_run,
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -3,7 +3,13 @@
 import dataclasses
 
 from guavaroad.domain import names
-from guavaroad.domain.pool import leases, values, work, worker_health
+from guavaroad.domain.pool import (
+    leases,
+    owner_contacts,
+    values,
+    work,
+    worker_health,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -69,6 +75,7 @@
     Attributes:
         worker_info: Its entry in the platform's list.
         lease: Its clock and the time until which it may run tasks.
+        contacts: When the owners of its runs were heard from.
         health: Recent failures and the resulting pause.
         free_cpu: Thousandths of a core that no run holds.
         free_memory_mb: Memory that no run holds, in MB.
@@ -94,6 +101,7 @@
 
     worker_info: WorkerInfo
     lease: leases.Lease
+    contacts: owner_contacts.OwnerContacts
     health: worker_health.WorkerHealth = dataclasses.field(
         default_factory=worker_health.WorkerHealth
     )
@@ -156,14 +164,41 @@
         """Return whether it runs a task that may have crashed a worker."""
         return any(run.task.losses for run in self.runs.values())
 
-    def may_extend_lease(self) -> bool:
+    def may_extend_lease(self, now_s: float) -> bool:
         """Return whether the lease of the worker's runs may be extended.
 
-        It may not be extended while the worker reports unclaimed runs: an
-        allocator that can't reach the worker may rely on the end of their
-        lease.
+        An allocator that can't reach the worker may rely on the end of their
+        lease. So it may not be extended while the worker reports unclaimed
+        runs, or may have a run whose owner is silent; also if the job of that
+        run is closed, until its end is confirmed.
+
+        Args:
+            now_s: Current time, in seconds.
         """
-        return self.is_synced and not self.unclaimed_runs
+        if not self.is_synced or self.unclaimed_runs:
+            return False
+        return self.lease_limit_s() - now_s >= leases.MIN_EXTENSION_S
+
+    def lease_limit_s(self) -> float:
+        """Return the local time at which its lease has to end, in seconds."""
+        return self.contacts.lease_limit_s(
+            run.task.job.owner for run in self.runs.values()
+        )
+
+    def extend_lease(self, now_s: float) -> int:
+        """Extend the lease as far as the owners of all runs allow.
+
+        Returns:
+            End of the lease on the worker's clock, in milliseconds.
+        """
+        return self.lease.extend(now_s, self.lease_limit_s())
+
+    def has_silent_owner(self) -> bool:
+        """Return whether it may have a run whose owner is silent."""
+        silent = self.contacts.silent
+        return bool(silent) and any(
+            run.task.job.owner in silent for run in self.runs.values()
+        )
 
     def fits(self, need: values.Amount) -> bool:
         """Return whether there is enough free capacity for a task."""
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_registry.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_registry.py
@@ -55,7 +55,9 @@
         """Track a worker and start its status polls."""
         inherited_s = self.state.taken_over_s + leases.INHERITED_LEASE_S
         worker_state = worker.Worker(
-            worker_info=worker_info, lease=leases.Lease(ends_s=inherited_s)
+            worker_info=worker_info,
+            lease=leases.Lease(ends_s=inherited_s),
+            contacts=self.state.contacts,
         )
         worker_state.resize(worker_info)
         self.state.workers[worker_info.worker_id] = worker_state
--- a/packages/guavaroad/src/guavaroad/services/pool/status_poller.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/status_poller.py
@@ -16,9 +16,9 @@
 # Time that a worker waits for a run to end before it answers, in milliseconds.
 # Half of a lease, so that one lost answer does not end the lease.
 POLL_WAIT_MS: Final = 400
-# Interval between polls of a worker that reports unclaimed runs, in seconds.
+# Interval between polls that may not extend the lease of a worker, in seconds.
 # Such polls do not wait at the worker, and a stop takes about 50 ms.
-UNCLAIMED_RUNS_INTERVAL_S: Final = 0.05
+NOT_EXTENDED_INTERVAL_S: Final = 0.05
 # Interval after a poll that a worker has answered at once without an end,
 # although it had to wait for one, in seconds. Polls would follow each other
 # without a pause otherwise.
@@ -97,11 +97,11 @@
             return
         sent_s = self.timers.now()
         acknowledges = not poll_state.is_reset and worker.lease.has_clock()
-        extends = acknowledges and worker.may_extend_lease()
+        extends = acknowledges and worker.may_extend_lease(sent_s)
         poll = pool.StatusPoll(
             token=self.machine.state.token,
             last_end_position=worker.last_end_position if acknowledges else 0,
-            until_ms=worker.lease.extend(sent_s) if extends else None,
+            until_ms=worker.extend_lease(sent_s) if extends else None,
             wait_ms=POLL_WAIT_MS if extends else 0,
             started_ms=(
                 worker.worker_info.started_ms
@@ -224,8 +224,9 @@
         """
         worker = self.machine.state.workers.get(poll_state.worker_id)
         delay_s = EARLY_ANSWER_INTERVAL_S if is_early else 0
-        if worker is not None and worker.unclaimed_runs:
-            delay_s = UNCLAIMED_RUNS_INTERVAL_S
+        now_s = self.timers.now()
+        if worker is not None and not worker.may_extend_lease(now_s):
+            delay_s = NOT_EXTENDED_INTERVAL_S
         if delay_s:
             self.timers.call_after(delay_s, lambda: self.send_poll(poll_state))
         else:
