Keep the jobs of a lost owner only when it has answered

Cause: the time limit after which the jobs of a lost owner are given up was taken back as soon as TCP connected. An owner behind something that accepts connections and resets each of them kept its jobs for good, while another allocator could start them again.

Change: only a message of the owner takes the limit back, and ends its state as lost; a link that is lost before leaves both as they are.

--- a/features/pool/lost_owners.feature
+++ b/features/pool/lost_owners.feature
@@ -27,3 +27,45 @@
     And 4 s pass in the pool
     Then tasks were started again
     And no invariant is violated
+
+  Scenario Outline: No order extends a lease by more than a lost owner allows, after <silent_s> s
+    # Its runs may be started again elsewhere 1.1 s after its last message.
+    Given an allocator with runs of two owners on one worker
+    When one of the owners is silent for <silent_s> s
+    Then a job of the other owner is <start>
+    And the lease of the worker ends at most 1.1 s after that owner was heard
+
+    Examples:
+      | silent_s | start       |
+      | 0.1      | started     |
+      | 0.5      | started     |
+      | 0.7      | not started |
+
+  Scenario: A worker is used again once the run of a silent owner is over
+    Given an allocator with runs of two owners on one worker
+    When one of the owners is silent for 0.7 s
+    And the run of that owner ends
+    Then a job of the other owner is started
+
+  Scenario: The run of a closed job limits the lease until its end is confirmed
+    Given an allocator with runs of two owners on one worker
+    When one of the owners withdraws its job, and the stop is not answered
+    And one of the owners is silent for 0.7 s
+    Then a job of the other owner is not started
+
+  Scenario: A message that has waited in a pause does not count as sent after it
+    Given an allocator with runs of two owners on one worker
+    When the allocator is paused for 2 s, and then reads a message of each owner
+    Then the lease of the worker can't be extended
+
+  Scenario Outline: An owner whose link is lost for good loses its jobs, also if it is <seen>
+    # The deadline was taken back whenever TCP connected.
+    Given an allocator with runs of two owners on one worker
+    When the link of one owner is reset, and it is <seen> for 1 s
+    Then its job is <state>
+
+    Examples:
+      | seen                                  | state    |
+      | not linked                            | given up |
+      | linked and reset again and again      | given up |
+      | linked and answers                    | open     |
--- a/packages/guavaroad/src/guavaroad/domain/pool/orphans.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/orphans.py
@@ -1,4 +1,8 @@
-"""Jobs whose owner's link is lost."""
+"""Jobs whose owner's link is lost.
+
+Answers an owner that is cut off, also behind something that accepts its
+connections: only a message of the owner shows that it has the link.
+"""
 
 from typing import Final
 
@@ -30,19 +34,30 @@
         self.deadlines: dict[values.InstanceName, float] = {}
 
     def on_owner_linked(self, owner: values.InstanceName) -> bool:
-        """Keep the jobs of an owner whose link is re-established.
+        """Return whether the jobs of an owner are kept if it answers soon.
 
         Returns:
-            Whether the link was lost and the jobs are still tracked.
+            Whether its link was lost and the jobs are still tracked.
         """
+        return owner in self.deadlines
+
+    def on_owner_heard(self, owner: values.InstanceName) -> None:
+        """Keep the jobs of an owner that has sent a message on its link.
+
+        It follows this allocator, and never one with a lower token than before:
+        so no other allocator has its jobs.
+        """
+        self.state.contacts.on_heard(owner)
         self.state.contacts.lost.discard(owner)
-        return self.deadlines.pop(owner, None) is not None
+        self.deadlines.pop(owner, None)
 
     def on_owner_lost(
         self, owner: values.InstanceName, now_s: float, *, timed_out: bool
     ) -> None:
         """Schedule the jobs of an owner to be given up.
 
+        A link that is lost before the owner has answered on it changes nothing.
+
         Args:
             owner: Owner whose link is lost.
             now_s: Current time, in seconds.
@@ -50,7 +65,9 @@
                 grace period. Jobs of a reset link do.
         """
         grace_s = 0 if timed_out else ORPHAN_GRACE_S
-        self.deadlines[owner] = now_s + grace_s
+        deadline_s = now_s + grace_s
+        earlier_s = self.deadlines.get(owner, deadline_s)
+        self.deadlines[owner] = min(earlier_s, deadline_s)
         self.state.contacts.lost.add(owner)
 
     def drop_expired(self, now_s: float) -> None:
--- a/packages/guavaroad/src/guavaroad/services/pool/allocator_inbox.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/allocator_inbox.py
@@ -60,7 +60,7 @@
     def receive(self, name: values.InstanceName, message: Any) -> None:
         """Process a message of an instance."""
         if not isinstance(message, peer_messages.Superseded):
-            self.machine.state.contacts.on_heard(name)
+            self.machine.orphans.on_owner_heard(name)
         match message:
             case messages.Declare() | messages.Withdraw():
                 self.receive_about_job(name, message)
