Name the term in reports of starts that were not sent

Cause: an owner reported starts that an agent had rejected to the allocator that it followed by then, where the same number may be another call: that one would have been refused as not sent, though it was.

Change: the owner reports a rejection only to the allocator that has ordered the start, and the message names its token (0 from older builds); an allocator ignores that of another term.

Evidence: the new scenarios of agent_decisions.feature failed and pass; agent_decisions, agents and pauses: 51 scenarios pass.

--- a/features/pool/agent_decisions.feature
+++ b/features/pool/agent_decisions.feature
@@ -84,3 +84,19 @@
       | 4000  | 1      |
       | 500   | 0.25   |
       | 60000 | 1      |
+
+  Scenario Outline: A start that was not sent is refused in the term that ordered it, <term>
+    # The number of its call may be another call in the next term.
+    Given a call in the term with token 2
+    When the owner reports that it has not sent that call, with <token>
+    Then the call is <state>
+
+    Examples:
+      | term                           | token    | state   |
+      | the same term                  | token 2  | refused |
+      | an earlier term                | token 1  | pending |
+      | a build that tells no term     | no token | refused |
+
+  Scenario: An agent's rejection in an earlier term is not sent to the next allocator
+    Given an owner whose start is rejected after it has followed the next allocator
+    Then the next allocator is told of no start that was not sent
--- a/packages/guavaroad/src/guavaroad/domain/pool/agent_messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/agent_messages.py
@@ -135,10 +135,13 @@
         calls: Numbers of the calls.
         is_job_open: Whether the owner still has the job; if not, another
             attempt has no effect.
+        token: Fencing token of the term that the numbers belong to; 0 if sent
+            by an older build.
     """
 
     calls: tuple[CallNumber, ...]
     is_job_open: bool
+    token: values.Token = values.ANY_TERM
 
 
 class Start(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/guavaroad/src/guavaroad/domain/pool/values.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/values.py
@@ -24,6 +24,9 @@
 # at which the incarnation started.
 ANY_INCARNATION: Final = 0
 
+# In messages of builds that name no term.
+ANY_TERM: Final = Token(0)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Amount:
--- a/packages/guavaroad/src/guavaroad/services/pool/job_launcher.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_launcher.py
@@ -1,5 +1,7 @@
 """Sends the start orders of this instance's jobs."""
 
+import functools
+
 from guavaroad.domain.pool import agent_messages, values
 from guavaroad.services.pool import job_owner, run_starter
 
@@ -29,9 +31,10 @@
                 and are rejected.
         """
         job = self.job_owner.attempts.find(message)
+        token = self.job_owner.token
         if job is None or is_outdated:
             calls = tuple(launch.call for launch in message.launches)
-            self.reject(calls, is_job_open=False)
+            self.reject(token, calls, is_job_open=False)
             return
         by_agent: dict[values.InstanceName, list[agent_messages.Start]] = {}
         for launch in message.launches:
@@ -39,21 +42,31 @@
         for agent, starts in by_agent.items():
             self.run_starter.send(
                 agent=agent,
-                token=self.job_owner.token,
+                token=token,
                 payload=job.request.payload,
                 starts=tuple(starts),
-                on_rejected=self.reject,
+                on_rejected=functools.partial(self.reject, token),
             )
 
     def reject(
         self,
+        token: values.Token,
         calls: tuple[agent_messages.CallNumber, ...],
         *,
         is_job_open: bool = True,
     ) -> None:
-        """Tell the allocator that start orders were not sent."""
+        """Tell the allocator that start orders were not sent.
+
+        Args:
+            token: Fencing token of the allocator that has decided them. Another
+                one is told nothing.
+            calls: Numbers of their calls.
+            is_job_open: Whether this instance still has the job.
+        """
         link = self.job_owner.link
-        if link is not None:
+        if link is not None and token == self.job_owner.token:
             link.send(
-                agent_messages.NotLaunched(calls=calls, is_job_open=is_job_open)
+                agent_messages.NotLaunched(
+                    calls=calls, is_job_open=is_job_open, token=token
+                )
             )
--- a/packages/guavaroad/src/guavaroad/services/pool/start_router.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/start_router.py
@@ -108,7 +108,12 @@
     def on_not_launched(
         self, owner: values.InstanceName, message: agent_messages.NotLaunched
     ) -> None:
-        """Let the owner call the workers itself, if it reaches no agent."""
+        """Let the owner call the workers itself, if it reaches no agent.
+
+        In another term the numbers may be those of other calls.
+        """
+        if message.token not in {values.ANY_TERM, self.token}:
+            return
         may_retry = message.is_job_open and owner in self.assignments.agents
         for call in message.calls:
             pending = self.pending.calls.get(call)
