Give a freed connection to the request that waits

Cause: ConnectionPool put a freed connection among the idle ones without looking at the requests that wait; only a further request took it from there. Of more than 12 orders to a worker the rest failed as unreached after 0.2 s.

Change: a connection that is established or freed goes to the oldest waiting request. A failed attempt to connect fails the waiting requests only if no connection is left, then all of them. A response is processed when all received bytes are parsed, so that a surplus answer is not taken for that of the next request. A closed pool opens no connection.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,9 @@
 bench-instance: setup
 	$(BIN)/python -m bench.run
 
+bench-stops: setup
+	$(BIN)/python -m bench.stops
+
 bench-slots: setup
 	$(BIN)/python -m bench.slots
 
--- a/packages/guavaroad/src/guavaroad/adapters/http_connection.py
+++ b/packages/guavaroad/src/guavaroad/adapters/http_connection.py
@@ -3,8 +3,13 @@
 `twisted.web.client` needs about 1 ms of processor time per call, four times
 the budget of an order to a worker, hence the C-backed parser.  A connection
 carries one request at a time; after a time-out it is closed, not reused.
+
+Answers a burst of requests beyond the limit of connections: a request waits for
+the next connection that is established or freed, the oldest first.  It fails
+early only if no connection is left and none can be opened.
 """
 
+import collections
 import dataclasses
 from collections.abc import Callable
 from typing import Any, Final
@@ -87,6 +92,7 @@
         return reply.status == OK and identity in {0, self.expected}
 
 
+_POOL_CLOSED: Final = RequestFailed(detail='connection pool closed', sent=False)
 Exchange = Reply | RequestFailed | HandshakeFailed
 OnExchange = Callable[[Exchange], object]
 
@@ -127,6 +133,57 @@
             self.on_exchange(exchange)
 
 
+class ResponseReader:
+    """Receives one response from the parser.
+
+    Attributes:
+        reply: The response, once it is complete.
+        keep_alive: Whether the connection may be used again.
+        chunks: Body received so far.
+    """
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.reply: Reply | None = None
+        self.keep_alive = True
+        self.chunks: list[bytes] = []
+
+    def feed(self, received: bytes) -> Reply | None:
+        """Parse received bytes; return the response once it is complete.
+
+        Bytes beyond the response belong to no request: the connection is not
+        used again then.
+
+        Raises:
+            httptools.HttpParserError: The response is malformed.
+        """
+        try:
+            self.parser.feed_data(received)
+        except httptools.HttpParserError:
+            if self.reply is None:
+                raise
+            self.keep_alive = False
+        return self.reply
+
+    def on_message_begin(self) -> None:
+        """Reject a second response."""
+        if self.reply is not None:
+            self.keep_alive = False
+
+    def on_body(self, chunk: bytes) -> None:
+        """Append a part of the body."""
+        self.chunks.append(chunk)
+
+    def on_message_complete(self) -> None:
+        """Record the response, unless it is a second one."""
+        if self.reply is None:
+            self.keep_alive = self.parser.should_keep_alive()
+            self.reply = Reply(
+                status=self.parser.get_status_code(),
+                body=b''.join(self.chunks),
+            )
+
+
 class ClientConnection(protocol.Protocol):
     """A connection to the server.
 
@@ -136,8 +193,7 @@
         pending_handshake: Its handshake, while that is in flight.
         identity: Identity of the server's process by the last handshake; 0 if
             there was none.
-        parser: Parser of the response.
-        chunks: Response body received so far.
+        reader: Receives the response.
     """
 
     # The type stubs of Twisted declare only the general transport.
@@ -148,13 +204,12 @@
         self.request: Request | None = None
         self.pending_handshake: Handshake | None = None
         self.identity = 0
-        self.parser: Any = None
-        self.chunks: list[bytes] = []
+        self.reader = ResponseReader()
 
     def connectionMade(self) -> None:
         """Add the connection to the pool, which may send a request on it."""
         self.transport.setTcpNoDelay(True)
-        self.pool.on_connected(self)
+        self.pool.on_free(self)
 
     def send(self, request: Request) -> None:
         """Write a request, or first its handshake if that is still due."""
@@ -170,31 +225,26 @@
 
     def write(self, encoded: bytes) -> None:
         """Write an encoded request, and prepare for its response."""
-        self.parser = httptools.HttpResponseParser(self)
-        self.chunks = []
+        self.reader = ResponseReader()
         self.transport.write(encoded)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse the data; abort on data that belongs to no request."""
         if self.request is None:
+            self.pool.remove(self)
             self.transport.abortConnection()
             return
         try:
-            self.parser.feed_data(data)
+            reply = self.reader.feed(data)
         except httptools.HttpParserError as error:
             self.fail(f'malformed response: {error}')
             self.transport.abortConnection()
+            return
+        if reply is not None:
+            self.on_reply(reply, keep_alive=self.reader.keep_alive)
 
-    def on_body(self, chunk: bytes) -> None:
-        """Append a part of the body."""
-        self.chunks.append(chunk)
-
-    def on_message_complete(self) -> None:
+    def on_reply(self, reply: Reply, *, keep_alive: bool) -> None:
         """Process the response to the request or to its handshake."""
-        reply = Reply(
-            status=self.parser.get_status_code(), body=b''.join(self.chunks)
-        )
-        keep_alive = self.parser.should_keep_alive()
         handshake = self.pending_handshake
         if handshake is None:
             self.finish(reply, keep_alive=keep_alive)
@@ -218,7 +268,7 @@
         self.request = None
         self.pending_handshake = None
         if keep_alive:
-            self.pool.idle.append(self)
+            self.pool.on_free(self)
         else:
             self.transport.loseConnection()
         if request is not None:
@@ -251,7 +301,8 @@
         max_connections: Most connections, those being opened included.
         common_headers: Header lines of every request.
         idle: Open connections without a request.
-        waiting: Requests that wait for a connection.
+        waiting: Requests that wait for a connection, the oldest first; none
+            while a connection is idle.
         connectors: Connections that are open or being opened.
         closed: Whether the pool was closed.
     """
@@ -275,7 +326,7 @@
             f'{name}: {text}\r\n' for name, text in fields.items()
         )
         self.idle: list[ClientConnection] = []
-        self.waiting: list[Request] = []
+        self.waiting: collections.deque[Request] = collections.deque()
         self.connectors: set[Any] = set()
         self.closed = False
 
@@ -289,7 +340,9 @@
         on_exchange: OnExchange,
         handshake: Handshake | None = None,
     ) -> None:
-        """Send a request on an idle connection, or on a new one.
+        """Send a request on an idle connection, or on the next that is free.
+
+        After `close` it fails at once.
 
         Args:
             method: HTTP method.
@@ -311,12 +364,14 @@
         request.timer = self.reactor.callLater(
             timeout_s, self.on_timeout, request
         )
-        if self.idle:
+        if self.closed:
+            request.finish(_POOL_CLOSED)
+        elif self.idle:
             self.idle.pop().send(request)
-            return
-        self.waiting.append(request)
-        if len(self.connectors) < self.max_connections:
-            self.connect()
+        else:
+            self.waiting.append(request)
+            if len(self.connectors) < self.max_connections:
+                self.connect()
 
     def head_of(self, method: str, path: str) -> bytes:
         """Return the request line and headers, without Content-Length."""
@@ -337,21 +392,32 @@
         """Return the protocol for a new connection."""
         return ClientConnection(pool=self)
 
-    def on_connected(self, connection: ClientConnection) -> None:
-        """Send a waiting request on a new connection."""
+    def on_free(self, connection: ClientConnection) -> None:
+        """Send the oldest waiting request on a new or freed connection."""
         if self.closed:
             connection.transport.loseConnection()
         elif self.waiting:
-            connection.send(self.waiting.pop(0))
+            connection.send(self.waiting.popleft())
         else:
             self.idle.append(connection)
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
-        """Fail the oldest waiting request."""
+        """Fail the waiting requests, unless another connection will be free."""
         self.connectors.discard(connector)
-        if self.waiting:
-            detail = f'not connected: {reason.getErrorMessage()}'
-            self.waiting.pop(0).finish(RequestFailed(detail=detail, sent=False))
+        if not self.connectors:
+            self.fail_waiting(
+                RequestFailed(
+                    detail=f'not connected: {reason.getErrorMessage()}',
+                    sent=False,
+                )
+            )
+
+    def fail_waiting(self, failed: RequestFailed) -> None:
+        """Fail the waiting requests, but none that their callbacks send."""
+        waiting = tuple(self.waiting)
+        self.waiting.clear()
+        for request in waiting:
+            request.finish(failed)
 
     def clientConnectionLost(self, connector: Any, _: Any) -> None:
         """Replace a lost connection if requests wait for one."""
@@ -382,11 +448,7 @@
     def close(self) -> None:
         """Close every connection and fail the requests in progress."""
         self.closed = True
-        for request in tuple(self.waiting):
-            request.finish(
-                RequestFailed(detail='connection pool closed', sent=False)
-            )
-        self.waiting.clear()
+        self.fail_waiting(_POOL_CLOSED)
         for connector in tuple(self.connectors):
             connector.disconnect()
 
