Call workers at the addresses of their present entries

Cause: AgentAssignments kept the WorkerInfo with which a worker was added, and no action said that its entry had changed. The calls to a worker that came back at another address went to the former one until another instance allocated.

Change: update_worker adds WorkerMoved; the worker's agent is told the address again, and closes the connections to the former one. Each session of an agent calls a worker at its own allocator's address, as an allocator that was replaced while frozen may have old entries. An entry of the process before, listed late, keeps the present address. The simulated workers are reached only at their address.

--- a/packages/guavaroad/src/guavaroad/domain/pool/actions.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/actions.py
@@ -77,6 +77,17 @@
     worker_id: values.WorkerId
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerMoved:
+    """Make further calls to a worker at the address of its present entry.
+
+    Attributes:
+        worker_id: The worker.
+    """
+
+    worker_id: values.WorkerId
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerRemoved:
     """End the status polls of a worker.
@@ -117,6 +128,7 @@
     | StopRun
     | NotifyOwner
     | WorkerAdded
+    | WorkerMoved
     | WorkerRemoved
     | PollNow
     | LogEvent
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_registry.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_registry.py
@@ -1,6 +1,8 @@
 """Tracks the platform's list of workers.
 
 The list lags behind, and entries may be missing from it for a short time.
+Workers may come back under their ids at other addresses, also at those that
+they or others had before.
 """
 
 import dataclasses
@@ -75,8 +77,9 @@
         old = worker_state.worker_info
         started_ms = worker_info.started_ms or old.started_ms
         # The list lags behind, and clocks are set back between two starts.
-        if started_ms == worker_state.previous_started_ms:
+        if started_ms and started_ms == worker_state.previous_started_ms:
             started_ms = old.started_ms
+            worker_info = dataclasses.replace(worker_info, address=old.address)
         if old.started_ms and started_ms > old.started_ms:
             self.reports.on_restart(worker_state, started_ms, now_s)
             worker_state.is_synced = False
@@ -86,6 +89,15 @@
             )
         if worker_info == old:
             return
+        if worker_info.address != old.address:
+            self.state.add_action(
+                actions.WorkerMoved(worker_id=worker_info.worker_id)
+            )
+            self.state.log_event(
+                'worker_moved',
+                worker=worker_info.worker_id,
+                address=worker_info.address,
+            )
         pool_changed = worker_info.pool != old.pool
         if pool_changed:
             self.state.pool(old.pool).capacity.remove(worker_info.worker_id)
--- a/packages/guavaroad/src/guavaroad/services/pool/action_executor.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/action_executor.py
@@ -77,6 +77,8 @@
                 self.status_poller.poll_now(action.worker_id)
             case actions.WorkerAdded():
                 self.status_poller.add_worker(action.worker_id)
+            case actions.WorkerMoved():
+                self.status_poller.move_worker(action.worker_id)
             case actions.WorkerRemoved():
                 self.status_poller.remove_worker(action.worker_id)
             case actions.LogEvent():
--- a/packages/guavaroad/src/guavaroad/services/pool/agent_assignments.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/agent_assignments.py
@@ -117,7 +117,14 @@
         return self.directory.local_instance.name
 
     def add(self, worker_info: worker.WorkerInfo) -> None:
-        """Add a worker."""
+        """Add a worker, or tell its agent the address of its present entry."""
+        known = self.workers.get(worker_info.worker_id)
+        if known is not None:
+            known.worker_info = worker_info
+            known.failures = 0
+            if known.agent is not None:
+                self.assign(known, known.agent)
+            return
         self.last_number += 1
         self.workers[worker_info.worker_id] = AssignedWorker(
             worker_info=worker_info, number=self.last_number
--- a/packages/guavaroad/src/guavaroad/services/pool/agent_calls.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/agent_calls.py
@@ -98,7 +98,12 @@
         self.unrouted: list[pending_calls.PendingCall] = []
 
     def open(self, worker_info: worker.WorkerInfo) -> None:
-        """Prepare for calls to a worker."""
+        """Prepare for calls to a worker at the address of its entry.
+
+        If it has moved, calls in progress may still reach its former address.
+        Those that start a run or extend a lease reach the incarnation that they
+        are meant for or none.
+        """
         self.assignments.add(worker_info)
 
     def close(self, worker_id: values.WorkerId) -> None:
--- a/packages/guavaroad/src/guavaroad/services/pool/agent_session.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/agent_session.py
@@ -38,6 +38,8 @@
         allocator: Receives the outcomes.
         connections: Connections to the workers.
         assigned: Assigned workers, by their number.
+        addresses: Addresses of the assigned workers. Sessions of two
+            allocators share the connections, but may have different entries.
         start_calls: Call number and time of recent starts, by run.
         accepted: Acceptances that have not been sent.
     """
@@ -55,6 +57,7 @@
         self.connections = connections
         self.timers = timer_service
         self.assigned: dict[int, values.WorkerId] = {}
+        self.addresses: dict[values.WorkerId, str] = {}
         self.start_calls: collections.OrderedDict[
             RunKey, tuple[agent_messages.CallNumber, float]
         ] = collections.OrderedDict()
@@ -65,18 +68,36 @@
         match message:
             case agent_messages.AssignWorker():
                 self.assigned[message.number] = message.worker_id
+                self.addresses[message.worker_id] = message.address
                 self.connections.open(message.worker_id, message.address)
             case agent_messages.ReleaseWorker():
-                self.assigned.pop(message.number, None)
+                self.release(message.number)
             case agent_messages.PollWorker():
                 self.poll(message)
             case agent_messages.StopTask():
                 self.stop(message)
 
+    def release(self, number: int) -> None:
+        """Forget an assigned worker."""
+        worker_id = self.assigned.pop(number, None)
+        if worker_id is not None and worker_id not in self.assigned.values():
+            self.addresses.pop(worker_id, None)
+
+    def connect(self, worker_id: values.WorkerId) -> bool:
+        """Prepare for a call to a worker; return whether it is connected.
+
+        Connections of earlier assignments serve until the present one arrives.
+        """
+        address = self.addresses.get(worker_id)
+        if address is None:
+            return self.connections.use(worker_id)
+        self.connections.open(worker_id, address)
+        return True
+
     def poll(self, message: agent_messages.PollWorker) -> None:
         """Poll the status of a worker."""
         worker_id = self.assigned.get(message.number)
-        if worker_id is None or not self.connections.use(worker_id):
+        if worker_id is None or not self.connect(worker_id):
             self.reject(message.call)
             return
         self.connections.workers.poll_status(
@@ -94,7 +115,7 @@
     def stop(self, message: agent_messages.StopTask) -> None:
         """Order a worker to stop a run."""
         worker_id = self.assigned.get(message.number)
-        if worker_id is None or not self.connections.use(worker_id):
+        if worker_id is None or not self.connect(worker_id):
             self.reject(message.call)
             return
         self.connections.workers.stop(
@@ -107,7 +128,7 @@
 
     def start(self, start: agent_messages.Start, payload: str) -> bool:
         """Order a worker to start a run; return whether it is connected."""
-        if not self.connections.use(start.worker_id):
+        if not self.connect(start.worker_id):
             return False
         self.record_call(start)
         self.connections.workers.start(
--- a/packages/guavaroad/src/guavaroad/services/pool/status_poller.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/status_poller.py
@@ -78,6 +78,12 @@
         self.workers.open(workers[worker_id].worker_info)
         self.send_poll(poll_state)
 
+    def move_worker(self, worker_id: values.WorkerId) -> None:
+        """Poll a worker at its present address."""
+        worker = self.machine.state.workers.get(worker_id)
+        if worker_id in self.poll_states and worker is not None:
+            self.workers.open(worker.worker_info)
+
     def remove_worker(self, worker_id: values.WorkerId) -> None:
         """Stop polling a worker."""
         poll_state = self.poll_states.pop(worker_id, None)
--- a/packages/guavaroad/src/guavaroad/services/pool/worker_connections.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/worker_connections.py
@@ -43,12 +43,16 @@
         timer_service.subscribe(CLOSE_PERIOD_S, self.close_unused)
 
     def open(self, worker_id: values.WorkerId, address: str) -> None:
-        """Open connections to a worker, unless they are open already."""
+        """Open connections to a worker, unless they are open already.
+
+        Those to another address are closed; their calls fail.
+        """
         known = self.opened.get(worker_id)
         if known is not None and known.address == address:
             known.used_s = self.timers.now()
             return
         if known is not None:
+            self.opened.pop(worker_id)
             self.workers.close(worker_id)
         self.workers.open(worker_id, address)
         self.opened[worker_id] = OpenWorker(
--- a/standins/src/guavaroad_standins/pool_connections.py
+++ b/standins/src/guavaroad_standins/pool_connections.py
@@ -59,6 +59,7 @@
         starts: Number of start orders sent, by worker.
         task_starts: Number of start orders sent, by task.
         calls: Number of calls of any kind, by worker.
+        addresses: Address to which the calls to each worker go.
         misdirected: Number of start orders that would have reached another
             incarnation than they were meant for.
         run_answer: Runs the callback of an answer, or holds it while the
@@ -81,10 +82,12 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.misdirected = 0
         self.random = random.Random(len(workers))
+        self.addresses: dict[values.WorkerId, str] = {}
         self.run_answer: Callable[[Callable[[], object]], None] = _call
 
     def open(self, worker_id: values.WorkerId, address: str) -> None:
         """Prepare to call a worker."""
+        self.addresses[worker_id] = address
 
     def close(self, worker_id: values.WorkerId) -> None:
         """Close the connections to a worker."""
@@ -132,6 +135,15 @@
             answer,
         )
 
+    def is_elsewhere(self, sim_worker: pool_worker.SimWorker) -> bool:
+        """Return whether the worker is not at the address of its calls.
+
+        Another worker there refuses them, as they name the worker.
+        """
+        present = sim_worker.worker_info
+        address = self.addresses.get(present.worker_id, present.address)
+        return address != present.address
+
     def answer_of(self, on_outcome: Any) -> pool_worker.Once:
         """Return the callback for the first outcome of a call."""
         return pool_worker.Once(
@@ -148,7 +160,7 @@
         answer: pool_worker.Once,
     ) -> None:
         """Execute an order on a worker and return its answer."""
-        if sim_worker.faults.refuses:
+        if sim_worker.faults.refuses or self.is_elsewhere(sim_worker):
             answer(outcomes.Refused(reason=outcomes.Refusal.UNREACHED))
             return
         if not self.reaches(sim_worker):
@@ -194,7 +206,7 @@
         answer: pool_worker.Once,
     ) -> None:
         """Deliver a status poll to a worker."""
-        if sim_worker.faults.refuses:
+        if sim_worker.faults.refuses or self.is_elsewhere(sim_worker):
             answer(outcomes.NoAnswer(detail='connection refused'))
             return
         if self.random.random() < sim_worker.faults.unanswered_share:
