--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -34,6 +34,7 @@
 Ready = "{ip}:21002"
 [Limits]
 LinkMbps = {link_mbps}
+{limits}
 [Bounds]
 GraceS = 6
 [platform]
@@ -160,6 +161,7 @@
                 ip=self.ip,
                 store=format_address(store),
                 link_mbps=fleet.link_mbps,
+                limits=fleet.limits,
             )
         )
         self.log = fleet.folder / f'{name}.log'
@@ -234,6 +236,7 @@
 
     Attributes:
         link_mbps: Capacity of each process's link by its settings, in Mbit/s.
+        limits: Further lines of the limits in their settings.
         proxy: Proxy for all connections between them, if there is one.
         worker_routes: Routes through the proxy to the workers, by id.
         answers: Responses that clients got.
@@ -251,8 +254,10 @@
         proxy=None,
         pythons=(sys.executable,),
         link_mbps=LARGE_LINK_MBPS,
+        limits='',
     ):
         self.link_mbps = link_mbps
+        self.limits = limits
         self.proxy = proxy
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='guavaroad-'))
         self.standin = subprocess.Popen(
