Choose which jobs wait and which are refused beyond the capacity

Beyond the capacity every queue grew until each job started just after its objective: room went into late answers while the jobs behind became late in turn, the least urgent kind was starved, and jobs were refused by the wait of a whole lane although their tasks would have fitted.

A job of a kind that is short of room is now admitted if it is expected to start well within its objective, or fits right now; the others are refused at once, large ones of a kind first. Kinds, size classes and callers keep a floor, late jobs of a short kind are evicted, gaps are filled with whole jobs found by size, and refused clients return one after another.

--- a/packages/guavaroad/src/guavaroad/domain/pool/admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/admission.py
@@ -16,8 +16,11 @@
 # Share of the workers' cores that whole tasks can fill when all are busy: two
 # tasks of 14 cores fit on 32 cores, three on 48.
 USABLE_CORE_SHARE: Final = 0.85
-# Weight of the newest second in the arrival rates.
-RATE_WEIGHT: Final = 0.5
+# Interval at which the arrival rates are updated, in seconds, and weight of the
+# newest one: a burst is seen within half a second, while single large jobs
+# hardly move the rates.
+RATE_INTERVAL_S: Final = 0.25
+RATE_WEIGHT: Final = 0.3
 # Minimum share of the usable cores that is assumed for the least urgent work.
 MIN_CORE_SHARE: Final = 0.1
 # An answer later than this multiple of the latency objective is of no use.
@@ -56,7 +59,7 @@
             now_s: Current time, in seconds.
         """
         elapsed_s = now_s - self.updated_s
-        if elapsed_s >= 1:
+        if elapsed_s >= RATE_INTERVAL_S:
             self.update(elapsed_s, now_s)
         self.sums[urgency] = self.sums.get(urgency, 0) + core_s
 
@@ -70,6 +73,10 @@
         self.sums = {}
         self.updated_s = now_s
 
+    def total(self) -> float:
+        """Return the rate of all work."""
+        return sum(self.rates.values())
+
     def rate_before(self, urgency: int) -> float:
         """Return the rate of work that is more urgent than `urgency`."""
         return sum(
@@ -77,22 +84,16 @@
         )
 
 
-def expected_wait_s(
-    *, ahead_core_s: float, cores: float, rate_before: float
-) -> float:
+def expected_wait_s(*, ahead_core_s: float, cores: float) -> float:
     """Return the expected wait for a start, in seconds.
 
     Args:
-        ahead_core_s: Core-seconds of work queued ahead.
-        cores: Cores of the usable workers.
-        rate_before: Arrival rate of more urgent work, in core-seconds per
-            second.
+        ahead_core_s: Core-seconds of work that is served before.
+        cores: Cores that are left for the work of this kind.
     """
-    usable_cores = cores * USABLE_CORE_SHARE
-    left = max(usable_cores - rate_before, usable_cores * MIN_CORE_SHARE)
-    if left <= 0:
+    if cores <= 0:
         return math.inf
-    return ahead_core_s / left
+    return ahead_core_s / cores
 
 
 def latest_start_s(
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
@@ -88,6 +88,7 @@
         for pool in self.state.pools.values():
             for job in pool.backlog.expired_jobs(now_s):
                 self.give_up_late(pool, job, now_s)
+        self.job_admission.shedder.evict_late(now_s)
         self.takeover.clean_up(now_s)
 
     def check_workers(self, now_s: float) -> None:
@@ -106,7 +107,9 @@
         self.runs.give_up(
             job,
             values.GiveUpReason.TOO_LATE,
-            retry_after_ms=self.job_admission.retry_after_ms(job, now_s),
+            retry_after_ms=self.job_admission.shedder.retry_after_ms(
+                job, now_s
+            ),
             detail=(
                 f'{len(job.waiting)} of {len(job.tasks)} tasks still wait, '
                 f'{waiting_core_s:.0f} core-seconds wait for {cores:.0f} cores'
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
@@ -6,13 +6,15 @@
 from guavaroad.domain import names, units
 from guavaroad.domain.pool import (
     actions,
-    admission,
     backlog,
     capacity_reserve,
     closed_jobs,
     messages,
     open_runs,
     placement,
+    return_times,
+    scarcity,
+    service_shares,
     values,
     work,
     worker,
@@ -25,7 +27,9 @@
     def __init__(self) -> None:
         self.capacity = placement.CapacityIndex()
         self.backlog = backlog.Backlog()
-        self.rates = admission.ArrivalRates()
+        self.room = scarcity.Room()
+        self.shares = service_shares.ServiceShares()
+        self.returns = return_times.ReturnTimes()
         self.reserve = capacity_reserve.CapacityReserve()
 
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/backlog.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/backlog.py
@@ -11,14 +11,18 @@
 import collections
 import dataclasses
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Final
 
+import sortedcontainers
+
 from guavaroad.domain.pool import admission, values, work
 
 _LOWEST_URGENCY: Final = 9
 # Jobs at the head of a queue that one pass examines.
 MAX_HEADS: Final = 16
+# Jobs of one urgency that are tried for a gap that the heads don't fit into.
+MAX_FITTING: Final = 3
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -29,6 +33,10 @@
         on_time: Jobs that can still meet their latency objective.
         late: Jobs that can't.
         core_s: Estimated core-seconds of all their waiting tasks.
+        late_core_s: Estimated core-seconds of the waiting tasks of late jobs.
+        by_need: Jobs without a start that can still meet their objective, by
+            the cores of their largest task; each with a number that makes it
+            unique.
     """
 
     on_time: collections.deque[work.Job] = dataclasses.field(
@@ -38,6 +46,14 @@
         default_factory=collections.deque
     )
     core_s: float = 0
+    late_core_s: float = 0
+    by_need: sortedcontainers.SortedKeyList = dataclasses.field(
+        default_factory=lambda: sortedcontainers.SortedKeyList(key=_need_key)
+    )
+
+    def on_time_core_s(self) -> float:
+        """Return the core-seconds of the jobs that aren't late."""
+        return max(self.core_s - self.late_core_s, 0)
 
     def move_late(self, now_s: float) -> None:
         """Move jobs at the head that have become late to the late queue."""
@@ -48,6 +64,21 @@
             self.on_time.popleft()
             if head.waiting:
                 self.late.append(head)
+                self.mark_late(head)
+
+    def mark_late(self, job: work.Job) -> None:
+        """Count a job as late, once."""
+        if job.queued_late:
+            return
+        job.queued_late = True
+        self.late_core_s += sum(map(_core_s, job.waiting.values()))
+        self.by_need.discard(job)
+
+    def count(self, task: work.Task, sign: int) -> None:
+        """Add the core-seconds of a waiting task, or subtract them."""
+        self.core_s += sign * _core_s(task)
+        if task.job.queued_late:
+            self.late_core_s += sign * _core_s(task)
 
 
 def is_on_time(job: work.Job, now_s: float) -> bool:
@@ -90,11 +121,16 @@
         job = task.job
         lane = self.lane_of(job)
         job.waiting[task.name] = task
-        lane.core_s += _core_s(task)
-        if job in self.queued:
+        is_queued = job in self.queued
+        if not is_queued:
+            job.queued_late = not is_on_time(job, now_s)
+        lane.count(task, 1)
+        if is_queued:
             return
         self.queued.add(job)
-        queue = lane.on_time if is_on_time(job, now_s) else lane.late
+        queue = lane.late if job.queued_late else lane.on_time
+        if not job.queued_late and not job.may_have_started:
+            lane.by_need.add(job)
         if job.may_have_started:
             queue.appendleft(job)
         else:
@@ -104,7 +140,9 @@
         """Remove a task that has been placed."""
         job = task.job
         job.waiting.pop(task.name)
-        self.lane_of(job).core_s -= _core_s(task)
+        lane = self.lane_of(job)
+        lane.count(task, -1)
+        lane.by_need.discard(job)
         if not job.waiting:
             self.queued.discard(job)
 
@@ -115,25 +153,69 @@
         """
         lane = self.lane_of(job)
         for task in job.waiting.values():
-            lane.core_s -= _core_s(task)
+            lane.count(task, -1)
+        lane.by_need.discard(job)
         job.waiting.clear()
         self.queued.discard(job)
 
-    def heads(self, now_s: float) -> Iterator[work.Job]:
+    def heads(
+        self, now_s: float, levels: Iterable[int] | None = None
+    ) -> Iterator[work.Job]:
         """Yield the first jobs of each lane in the order of service.
 
         Args:
             now_s: Current time, in seconds; decides which jobs are late.
+            levels: The urgencies in their order; ascending by default.
 
         Yields:
             Jobs with waiting tasks.
         """
-        for lane in self.lanes.values():
+        for level in tuple(self.lanes) if levels is None else levels:
+            lane = self.lanes[level]
             lane.move_late(now_s)
             yield from _waiting_heads(lane.on_time)
         for lane in self.lanes.values():
             yield from _waiting_heads(lane.late)
 
+    def on_time_core_s(self, urgency: int = _LOWEST_URGENCY) -> float:
+        """Return the waiting core-seconds that go before a new job.
+
+        Late jobs don't: they are served after all others.
+
+        Args:
+            urgency: Urgency of the job.
+        """
+        return sum(
+            lane.on_time_core_s()
+            for level, lane in self.lanes.items()
+            if level <= urgency
+        )
+
+    def fitting(self, gap_cpu: int) -> Iterator[work.Job]:
+        """Yield jobs without a start whose tasks fit into a gap.
+
+        The largest go first within their urgency, as they fill it best.
+
+        Args:
+            gap_cpu: Free thousandths of a core of the emptiest worker.
+
+        Yields:
+            At most MAX_FITTING jobs of each urgency.
+        """
+        for lane in self.lanes.values():
+            found = lane.by_need.irange_key(
+                max_key=(gap_cpu, float('inf')), reverse=True
+            )
+            yield from tuple(itertools.islice(found, MAX_FITTING))
+
+    def late_jobs(self, urgency: int) -> list[work.Job]:
+        """Return the late jobs of an urgency of which no task has started."""
+        return [
+            job
+            for job in self.lanes[urgency].late
+            if job.waiting and not job.may_have_started
+        ]
+
     def core_s_ahead(self, urgency: int) -> float:
         """Return the waiting core-seconds of this and higher urgencies."""
         return sum(
@@ -159,6 +241,12 @@
     return now_s + admission.STARTED_SHARE * job.estimate_s > job.answer_by_s
 
 
+def _need_key(job: work.Job) -> tuple[int, float, int]:
+    largest = max(task.need.cpu for task in job.tasks)
+    # Of equals the oldest is tried first.
+    return largest, -job.arrived_s, id(job)
+
+
 def _core_s(task: work.Task) -> float:
     return task.need.cpu * task.estimate_s / values.CPU_MILLIS_PER_CORE
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -3,10 +3,10 @@
 from typing import Final
 
 from guavaroad.domain.pool import (
-    admission,
     allocator_state,
     declared_jobs,
     earlier_declarations,
+    load_shedding,
     messages,
     outcomes,
     owner_changes,
@@ -22,9 +22,6 @@
 # link timeout or the orphan grace. Tasks of such jobs wait this long after
 # their declaration, in seconds, unless every worker has sent a run report.
 UNCONFIRMED_S: Final = 0.5
-# After a takeover the workers become usable one by one. In this time, in
-# seconds, no job is refused for lack of capacity.
-WARM_UP_S: Final = 0.5
 
 
 class JobAdmission:
@@ -36,6 +33,7 @@
         reports: Processes the run reports of workers.
         earlier: What is on record of a job from earlier declarations.
         owner_changes: Follows jobs whose owner changes or has missed messages.
+        shedder: Refuses jobs when there is more work than room.
     """
 
     def __init__(
@@ -50,6 +48,7 @@
         self.reports = reports
         self.earlier = earlier_declarations.EarlierDeclarations(state=state)
         self.owner_changes = owner_changes.OwnerChanges(state=state)
+        self.shedder = load_shedding.LoadShedder(state=state, runs=runs)
 
     def declare(
         self,
@@ -77,7 +76,7 @@
         )
         if self.refuse_if_crashing(job, declared):
             return
-        if self.refuse_if_overloaded(job, now_s):
+        if self.shedder.refuse_if_overloaded(job, now_s):
             return
         if declared.unconfirmed:
             job.unconfirmed_until_s = now_s + UNCONFIRMED_S
@@ -124,46 +123,6 @@
                 self.state.pool(job.pool).backlog.remove_task(task)
                 self.resume_declared(task, declared_task, now_s)
 
-    def refuse_if_overloaded(self, job: work.Job, now_s: float) -> bool:
-        """Refuse a job that no worker fits or that would wait too long.
-
-        Returns:
-            Whether the job was refused.
-        """
-        pool = self.state.pool(job.pool)
-        core_s = sum(
-            task.estimate_s * task.need.cpu / values.CPU_MILLIS_PER_CORE
-            for task in job.tasks
-        )
-        if job.may_have_started:
-            return False
-        pool.rates.add(job.urgency, core_s, now_s)
-        pool.reserve.record_arrival(job, now_s)
-        if self.is_warming_up(pool, now_s):
-            return False
-        if not all(map(pool.capacity.could_run, job.tasks)):
-            self.runs.give_up(
-                job,
-                values.GiveUpReason.NO_WORKER_FITS,
-                detail=f'{len(pool.capacity.workers)} workers listed',
-            )
-            return True
-        ahead_core_s = pool.backlog.core_s_ahead(job.urgency)
-        if not ahead_core_s:
-            return False
-        wait_s = self.expected_wait_s(job, now_s)
-        if now_s + wait_s <= job.give_up_s:
-            return False
-        self.runs.give_up(
-            job,
-            values.GiveUpReason.OVERLOADED,
-            retry_after_ms=self.retry_after_ms(job, now_s),
-            detail=declared_jobs.describe_wait(
-                wait_s, ahead_core_s, job.give_up_s - now_s
-            ),
-        )
-        return True
-
     def refuse_if_crashing(
         self, job: work.Job, declared: messages.Declare
     ) -> bool:
@@ -179,30 +138,6 @@
                 return True
         return False
 
-    def is_warming_up(
-        self, pool: allocator_state.PoolState, now_s: float
-    ) -> bool:
-        """Return whether too few workers are usable yet to refuse jobs."""
-        since_s = now_s - self.state.taken_over_s
-        return since_s < WARM_UP_S or not pool.capacity.cores(now_s)
-
-    def retry_after_ms(self, job: work.Job, now_s: float) -> int:
-        """Return the retry hint for a job with jitter, in milliseconds."""
-        wait_s = self.expected_wait_s(job, now_s)
-        # The jitter spreads the retries of clients that were refused together.
-        return admission.retry_after_ms(
-            wait_s * self.state.random.uniform(1, 2)
-        )
-
-    def expected_wait_s(self, job: work.Job, now_s: float) -> float:
-        """Return the expected wait of a job for a start, in seconds."""
-        pool = self.state.pool(job.pool)
-        return admission.expected_wait_s(
-            ahead_core_s=pool.backlog.core_s_ahead(job.urgency),
-            cores=pool.capacity.cores(now_s),
-            rate_before=pool.rates.rate_before(job.urgency),
-        )
-
     def resume_task(
         self, task: work.Task, declared: messages.DeclaredTask, now_s: float
     ) -> None:
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -17,6 +17,8 @@
 # Fitting workers that are compared. Each costs time, and further ones leave
 # larger gaps.
 MAX_CANDIDATES: Final = 8
+# Workers that are looked at to tell whether a task fits now.
+MAX_EXAMINED: Final = 16
 # Time for which a worker may be missing from the platform's list and still get
 # tasks, in seconds; missing entries reappear within 2 s.
 UNLISTED_GRACE_S: Final = 2.5
@@ -124,6 +126,57 @@
             for worker_state in self.workers.values()
         )
 
+    def fits_now(
+        self, tasks: Iterable[work.Task], spared_cpu: float, now_s: float
+    ) -> bool:
+        """Return whether all of some tasks fit on the workers right now.
+
+        Args:
+            tasks: The tasks.
+            spared_cpu: Thousandths of a core that have to stay free.
+            now_s: Current time, in seconds.
+        """
+        largest_first = sorted(
+            tasks, key=lambda task: task.need.cpu, reverse=True
+        )
+        left_cpu = self.free_cpu - sum(task.need.cpu for task in largest_first)
+        if left_cpu < spared_cpu:
+            return False
+        taken: dict[values.WorkerId, int] = {}
+        return all(self.takes(task, taken, now_s) for task in largest_first)
+
+    def takes(
+        self, task: work.Task, taken: dict[values.WorkerId, int], now_s: float
+    ) -> bool:
+        """Return whether a task fits beside others; add it to them.
+
+        Args:
+            task: The task.
+            taken: Thousandths of a core that the others take, by worker.
+            now_s: Current time, in seconds.
+        """
+        order = self.order.irange((task.need.cpu, ''))
+        for free_cpu, worker_id in itertools.islice(order, MAX_EXAMINED):
+            worker_state = self.workers[worker_id]
+            left_cpu = free_cpu - taken.get(worker_id, 0) - task.need.cpu
+            if (
+                left_cpu >= 0
+                and worker_state.fits(task.need)
+                and task.constraint.allows(worker_state.worker_info.labels)
+                and is_usable(worker_state, now_s)
+            ):
+                taken[worker_id] = taken.get(worker_id, 0) + task.need.cpu
+                return True
+        return False
+
+    def largest_gap_cpu(self, now_s: float) -> int:
+        """Return the free thousandths of a core of the emptiest worker."""
+        emptiest_first = itertools.islice(reversed(self.order), MAX_EXAMINED)
+        for free_cpu, worker_id in emptiest_first:
+            if is_usable(self.workers[worker_id], now_s):
+                return int(free_cpu)
+        return 0
+
     def runs(self) -> Iterator[worker.Run]:
         """Yield the runs on the workers."""
         for worker_state in self.workers.values():
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
@@ -1,7 +1,9 @@
 """Placement of waiting tasks.
 
 The cost of a pass does not grow with the queue: it examines only the heads of
-the queues and ends when several jobs have found no worker.
+the queues and ends when several jobs have found no worker. Gaps that are too
+small for those are filled with a few other jobs, found by their size, since
+tasks of half a worker would otherwise leave much of it free under overload.
 """
 
 from typing import Final
@@ -10,6 +12,7 @@
 from guavaroad.domain.pool import (
     actions,
     allocator_state,
+    job_cost,
     messages,
     values,
     work,
@@ -40,9 +43,26 @@
         """Place the waiting tasks of one pool."""
         if pool.reserve.is_due(now_s):
             pool.reserve.update(pool.capacity.runs(), now_s)
+        self.place_heads(pool, now_s)
+        self.fill_gaps(pool, now_s)
+        pool.room.measure(
+            waiting_core_s=pool.backlog.on_time_core_s(),
+            cores=pool.capacity.cores(now_s),
+            now_s=now_s,
+        )
+
+    def place_heads(
+        self, pool: allocator_state.PoolState, now_s: float
+    ) -> None:
+        """Place the first jobs in the order of service."""
         misses = 0
         lost_owners = self.state.lost_owners
-        for job in pool.backlog.heads(now_s):
+        cores = pool.capacity.cores(now_s)
+        levels = sorted(
+            pool.backlog.lanes,
+            key=lambda level: pool.room.rank(level, cores),
+        )
+        for job in pool.backlog.heads(now_s, levels):
             if job.owner in lost_owners:
                 continue
             if not self.place_job(pool, job, now_s):
@@ -50,6 +70,26 @@
             if misses == MAX_MISSES:
                 return
 
+    def fill_gaps(self, pool: allocator_state.PoolState, now_s: float) -> None:
+        """Place whole jobs that fit into gaps that the heads don't fit into.
+
+        The heads keep their turn: they are tried first in each pass, and the
+        tightest fit leaves the largest gaps to them.
+        """
+        if not pool.backlog.queued:
+            return
+        gap_cpu = pool.capacity.largest_gap_cpu(now_s)
+        for job in pool.backlog.fitting(gap_cpu):
+            if job.owner in self.state.lost_owners or not job.waiting:
+                continue
+            reserved_cores = pool.reserve.cores_for(job.urgency)
+            if pool.capacity.fits_now(
+                job.waiting.values(),
+                reserved_cores * values.CPU_MILLIS_PER_CORE,
+                now_s,
+            ):
+                self.place_job(pool, job, now_s)
+
     def place_job(
         self, pool: allocator_state.PoolState, job: work.Job, now_s: float
     ) -> bool:
@@ -81,6 +121,9 @@
     ) -> None:
         """Reserve capacity for a task and order its start."""
         pool.backlog.remove_task(task)
+        pool.room.record_start(
+            task.job.urgency, job_cost.core_s_of((task,)), now_s
+        )
         number = task.next_run
         self.state.add_run(
             worker_state,
--- a/packages/guavaroad/src/guavaroad/domain/pool/values.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/values.py
@@ -67,3 +67,11 @@
     WITHDRAWN = 'withdrawn'
     TAKEN_OVER = 'taken_over'
     NO_WORKER_FITS = 'no_worker_fits'
+
+
+class Size(enum.Enum):
+    """Size class of a job within its kind."""
+
+    SMALL = 'small'
+    MIDDLE = 'middle'
+    LARGE = 'large'
--- a/packages/guavaroad/src/guavaroad/domain/pool/work.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/work.py
@@ -76,6 +76,8 @@
         unconfirmed_until_s: Until this time a run that neither the owner nor
             the allocator tracks may be in progress.
         closed: Whether the allocator has removed it.
+        queued_late: Whether it is queued among the late jobs.
+        size: Size class within its kind.
     """
 
     job_id: values.JobId
@@ -101,6 +103,8 @@
     held: list[Task] = dataclasses.field(default_factory=list)
     unconfirmed_until_s: float = 0
     closed: bool = False
+    queued_late: bool = False
+    size: values.Size = values.Size.SMALL
     owner_has_payload: bool = False
     attempt: values.AttemptNumber = values.ANY_ATTEMPT
 
