--- a/features/pool/scarcity.feature
+++ b/features/pool/scarcity.feature
@@ -35,6 +35,12 @@
     When a burst at 1.2 times the capacity is replayed for 5 s on 60 workers
     Then no tenth of a second is the return time of more than a tenth of the refused
 
+  Scenario: Jobs that have waited for a new allocator do not count as a burst
+    Given an allocator of 4 workers that has taken over
+    When 200 jobs are declared that have waited for 1 s
+    Then their kind does not count as short of room
+    And none of them is evicted in 0.4 s
+
   Scenario: A job that returns after a refusal is preferred
     Given a pool whose callers have been refused in turn
     Then a job that was refused may wait longer than a new one
--- a/features/steps/scarcity_steps.py
+++ b/features/steps/scarcity_steps.py
@@ -4,9 +4,10 @@
 import random
 
 import behave
+import msgspec
 
 from guavaroad.domain.pool import return_times, scarcity, values
-from support import burst_replay
+from support import allocator_scenes, burst_replay
 
 SEED = 1
 # Jobs from which the mean work of a job is known.
@@ -68,6 +69,40 @@
     context.returns.remember(OLD)
 
 
+@behave.given('an allocator of {workers:d} workers that has taken over')
+def given_allocator(context, workers):
+    context.scene = allocator_scenes.AllocatorScene(
+        workers=workers, cpu=burst_replay.WORKER_CPU
+    )
+
+
+@behave.when('{count:d} jobs are declared that have waited for {seconds:g} s')
+def when_declared_again(context, count, seconds):
+    arrivals = burst_replay.arrivals_of(
+        rng=random.Random(SEED), per_s=PROBE_PER_S, seconds=1
+    )
+    for job in arrivals[:count]:
+        declared = msgspec.structs.replace(
+            job.declared, age_ms=int(seconds * 1000)
+        )
+        context.scene.machine.job_admission.declare(
+            values.InstanceName(job.owner), declared, context.scene.now_s
+        )
+
+
+@behave.then('their kind does not count as short of room')
+def then_not_short(context):
+    room = context.scene.machine.state.pool('pool').room
+    assert room.asked.total() == 0, room.asked
+
+
+@behave.then('none of them is evicted in {seconds:g} s')
+def then_not_evicted(context, seconds):
+    context.scene.run(seconds)
+    events = {line.event for line in context.scene.logged}
+    assert 'job_evicted' not in events, events
+
+
 @behave.then(
     'the share served in time is higher by {gain:g} than without the choice'
 )
--- a/packages/guavaroad/src/guavaroad/domain/pool/load_shedding.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/load_shedding.py
@@ -24,6 +24,9 @@
 # After a takeover the workers become usable one by one. In this time, in
 # seconds, no job is refused for lack of capacity.
 WARM_UP_S: Final = 0.5
+# Jobs older than this on arrival, in seconds, have waited for a new allocator.
+# They come all at once and say nothing about the rate of new work.
+NEW_JOB_AGE_S: Final = 0.2
 # Late jobs that one tick evicts, so that it stays short.
 MAX_EVICTIONS: Final = 200
 
@@ -55,7 +58,8 @@
             return False
         pool = self.state.pool(job.pool)
         core_s = job_cost.core_s_of(job.tasks)
-        pool.room.asked.add(job.urgency, core_s, now_s)
+        if now_s - job.arrived_s <= NEW_JOB_AGE_S:
+            pool.room.asked.add(job.urgency, core_s, now_s)
         pool.reserve.record_arrival(job, now_s)
         pool.shares.ask(job, core_s, now_s)
         if self.is_warming_up(pool, now_s):
@@ -130,10 +134,16 @@
     def evict_late(self, now_s: float) -> None:
         """Evict late jobs without a start of the kinds that are short."""
         for pool in self.state.pools.values():
-            cores = pool.capacity.cores(now_s)
-            for urgency in pool.backlog.lanes:
-                if not pool.room.is_short(urgency, cores):
-                    continue
+            if not self.is_warming_up(pool, now_s):
+                self.evict_late_of(pool, now_s)
+
+    def evict_late_of(
+        self, pool: allocator_state.PoolState, now_s: float
+    ) -> None:
+        """Evict late jobs of one pool."""
+        cores = pool.capacity.cores(now_s)
+        for urgency in pool.backlog.lanes:
+            if pool.room.is_short(urgency, cores):
                 for job in pool.backlog.late_jobs(urgency)[:MAX_EVICTIONS]:
                     self.evict(pool, job, now_s)
 
