--- a/packages/guavaroad/src/guavaroad/domain/pool/owner_contacts.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/owner_contacts.py
@@ -47,6 +47,10 @@
         if owner in self.silent:
             self.find_silent(self.ticked_s)
 
+    def is_away(self, owner: values.InstanceName) -> bool:
+        """Return whether no task of an owner may be placed now."""
+        return owner in self.lost or owner in self.silent
+
     def tick(self, now_s: float) -> None:
         """Update which owners are silent."""
         self.received_after_s = self.ticked_s
