Learn run times and spend attempts on workers that succeed

Cause: placement took the tightest fit whatever the speed of a worker, so that long tasks went to slow workers while fast ones were idle. Only three failures in a row ejected a worker, and the last attempt of a task could go to any, so that jobs of two attempts failed on faulty workers.

Change: RunTimes learns the length of a kind of work and the speed of labels and workers. Workers are indexed by standing and speed class; a task goes to the slowest on which it is in time, else to the fastest. The health of a worker is a log-odds of being faulty; a first failure makes it suspected, a second ejects it, less where tasks fail anywhere. Stragglers are judged by the expected time on their worker.

--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
@@ -27,6 +27,8 @@
 # Ticks after which every worker was checked. A check visits all runs; those of
 # hundreds of workers in each tick would take several percent of a core.
 CHECK_PARTS: Final = 2
+# Interval between log lines about the groups of workers, in seconds.
+LOG_GROUPS_S: Final = 5
 
 
 class Allocator:
@@ -42,6 +44,7 @@
         takeover: Cleans up after the previous allocator.
         placement_scheduler: Places tasks.
         checked_part: Part of the workers that was last checked.
+        groups_logged_s: Time of the last log line about the groups of workers.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self.orphans = orphans.Orphans(state=self.state, runs=self.runs)
         self.takeover = takeover.Takeover(state=self.state)
         self.checked_part = 0
+        self.groups_logged_s = now_s
         self.placement_scheduler = placement_scheduler.PlacementScheduler(
             state=self.state
         )
@@ -89,6 +93,23 @@
             for job in pool.backlog.expired_jobs(now_s):
                 self.give_up_late(pool, job, now_s)
         self.takeover.clean_up(now_s)
+        self.log_groups(now_s)
+
+    def log_groups(self, now_s: float) -> None:
+        """Log the groups of the workers of pools that have several."""
+        if now_s - self.groups_logged_s < LOG_GROUPS_S:
+            return
+        self.groups_logged_s = now_s
+        for name, pool in self.state.pools.items():
+            sizes = pool.capacity.group_sizes()
+            if len(sizes) > 1:
+                self.state.log_event(
+                    'worker_groups',
+                    pool=name,
+                    groups=sizes,
+                    task_faults=round(pool.task_faults.share, 3),
+                    overruns=round(pool.overruns.share, 3),
+                )
 
     def check_workers(self, now_s: float) -> None:
         """Check a part of the workers, so that each is checked in turn."""
@@ -124,6 +145,7 @@
             )
             self.reports.lost_workers.on_lapsed(worker_state, now_s)
         stragglers.stop_stragglers(self.runs, worker_state, now_s)
+        self.state.update_capacity(worker_state, now_s)
         repeat_s = self.reports.answer_times.repeat_interval_s()
         if stragglers.needs_extra_poll(worker_state, now_s, repeat_s):
             worker_state.extra_poll_s = now_s
@@ -134,9 +156,9 @@
             self.state.log_event(
                 'worker_removed', worker=worker_state.worker_info.worker_id
             )
-            self.state.pool(worker_state.worker_info.pool).capacity.remove(
-                worker_state.worker_info.worker_id
-            )
+            pool = self.state.pool(worker_state.worker_info.pool)
+            pool.capacity.remove(worker_state.worker_info.worker_id)
+            pool.run_times.forget(worker_state.worker_info.worker_id)
             self.state.workers.pop(worker_state.worker_info.worker_id)
             self.state.add_action(
                 actions.WorkerRemoved(
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
@@ -13,17 +13,32 @@
     messages,
     open_runs,
     placement,
+    run_times,
     values,
     work,
     worker,
+    worker_health,
 )
 
 
 class PoolState:
-    """Workers and waiting jobs of one pool."""
+    """Workers and waiting jobs of one pool.
+
+    Attributes:
+        run_times: Expected run times.
+        capacity: Workers by free capacity.
+        task_faults: Share of runs that fail by the fault of their task.
+        overruns: Share of runs that take far longer than expected.
+        backlog: Waiting jobs.
+        rates: Rates of arrival.
+        reserve: Capacity that is kept for urgent jobs.
+    """
 
     def __init__(self) -> None:
-        self.capacity = placement.CapacityIndex()
+        self.run_times = run_times.RunTimes()
+        self.capacity = placement.CapacityIndex(times=self.run_times)
+        self.task_faults = worker_health.FaultShare()
+        self.overruns = worker_health.FaultShare()
         self.backlog = backlog.Backlog()
         self.rates = admission.ArrivalRates()
         self.reserve = capacity_reserve.CapacityReserve()
@@ -112,6 +127,7 @@
             worker=worker_state.worker_info.worker_id,
             reason=reason,
             failures=worker_state.health.failures,
+            log_odds=round(worker_state.health.log_odds, 1),
             pace=round(worker_state.health.run_time_ratio, 2),
             pause_ms=units.to_ms(worker_state.health.ejected_until_s - now_s),
         )
@@ -124,9 +140,17 @@
             self.pools[name] = state
         return state
 
-    def update_capacity(self, worker_state: worker.Worker) -> None:
-        """Update a worker in the capacity index of its pool."""
-        self.pool(worker_state.worker_info.pool).capacity.update(worker_state)
+    def update_capacity(
+        self, worker_state: worker.Worker, now_s: float | None = None
+    ) -> None:
+        """Update a worker in the capacity index of its pool.
+
+        Args:
+            worker_state: The worker.
+            now_s: Current time, in seconds; None to keep its group.
+        """
+        pool = self.pool(worker_state.worker_info.pool)
+        pool.capacity.update(worker_state, now_s)
 
     def remove_run(
         self, worker_state: worker.Worker, name: values.TaskName
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -1,21 +1,30 @@
 """Choice of the worker that runs a task.
 
 Guards against fragmentation when tasks nearly fill a worker: the tightest fit
-leaves larger gaps free for later tasks. The workers are sorted by free cores,
-so that the cost of a choice does not grow with their number.
+leaves larger gaps free for later tasks. Handles workers of uneven speed: the
+slowest on which the task will be in time leaves the faster ones to tasks that
+need them. The workers of each group are sorted by free cores, so that the cost
+of a choice does not grow with their number.
 """
 
-import functools
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from typing import Final
 
 import sortedcontainers
 
-from guavaroad.domain.pool import constraints, values, work, worker
+from guavaroad.domain.pool import (
+    attempt_policy,
+    constraints,
+    placement_order,
+    run_times,
+    values,
+    work,
+    worker,
+)
 
-# Fitting workers that are compared. Each costs time, and further ones leave
-# larger gaps.
+# Fitting workers of a group that are compared. Each costs time, and further
+# ones leave larger gaps.
 MAX_CANDIDATES: Final = 8
 # Time for which a worker may be missing from the platform's list and still get
 # tasks, in seconds; missing entries reappear within 2 s.
@@ -29,45 +38,67 @@
     """Workers of one pool by their free cores.
 
     Attributes:
-        order: Free thousandths of a core and id of each worker, ascending.
+        run_times: Expected run times in the pool.
+        groups: Free thousandths of a core and id of each worker, ascending, by
+            its group.
         workers: Workers by id.
-        indexed_cpu: Free cores under which each worker is indexed, in
-            thousandths.
+        indexed: Group under which each worker is indexed, and its free
+            thousandths of a core.
         free_cpu: Free thousandths of a core of all workers. A worker that has
             shrunk below what it runs counts as 0.
         usable_cores: Cores of the usable workers as last counted.
         cores_counted_s: Time of that count, in seconds.
     """
 
-    def __init__(self) -> None:
-        self.order: sortedcontainers.SortedList = sortedcontainers.SortedList()
+    def __init__(self, *, times: run_times.RunTimes) -> None:
+        self.run_times = times
+        self.groups: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
         self.workers: dict[values.WorkerId, worker.Worker] = {}
-        self.indexed_cpu: dict[values.WorkerId, int] = {}
+        self.indexed: dict[
+            values.WorkerId, tuple[placement_order.Group, int]
+        ] = {}
         self.free_cpu = 0
         self.usable_cores = float(0)
         self.cores_counted_s = float('-inf')
 
-    def update(self, worker_state: worker.Worker) -> None:
-        """Index a worker under its current free cores."""
+    def update(self, worker_state: worker.Worker, now_s: float | None) -> None:
+        """Index a worker under its current group and free cores.
+
+        Args:
+            worker_state: The worker.
+            now_s: Current time, in seconds; None to keep its group.
+        """
         worker_id = worker_state.worker_info.worker_id
-        indexed = self.indexed_cpu.get(worker_id)
-        if indexed == worker_state.free_cpu:
+        known = self.indexed.get(worker_id)
+        if now_s is None:
+            group = known[0] if known else placement_order.USUAL_GROUP
+        else:
+            group = placement_order.group_of(
+                worker_state, self.run_times, now_s
+            )
+        entry = (group, worker_state.free_cpu)
+        if known == entry:
             return
-        if indexed is not None:
-            self.order.remove((indexed, worker_id))
-        self.order.add((worker_state.free_cpu, worker_id))
-        free_before = max(indexed or 0, 0)
-        self.free_cpu += max(worker_state.free_cpu, 0) - free_before
-        self.indexed_cpu[worker_id] = worker_state.free_cpu
+        self.remove(worker_id)
+        self.groups.setdefault(group, sortedcontainers.SortedList()).add(
+            (worker_state.free_cpu, worker_id)
+        )
+        self.free_cpu += max(worker_state.free_cpu, 0)
+        self.indexed[worker_id] = entry
         self.workers[worker_id] = worker_state
 
     def remove(self, worker_id: values.WorkerId) -> None:
         """Remove a worker from the index."""
-        indexed = self.indexed_cpu.pop(worker_id, None)
-        if indexed is not None:
-            self.order.remove((indexed, worker_id))
-            self.free_cpu -= max(indexed, 0)
-            self.workers.pop(worker_id)
+        known = self.indexed.pop(worker_id, None)
+        if known is None:
+            return
+        group, indexed_cpu = known
+        order = self.groups[group]
+        order.remove((indexed_cpu, worker_id))
+        if not order:
+            self.groups.pop(group)
+        self.free_cpu -= max(indexed_cpu, 0)
+        self.workers.pop(worker_id)
 
     def choose(self, task: work.Task, now_s: float) -> worker.Worker | None:
         """Return the worker for a task, or None if none is suitable.
@@ -76,18 +107,66 @@
             task: Task to place.
             now_s: Current time, in seconds.
         """
+        run_s = self.run_times.expected_s(task)
+        required = attempt_policy.requirement(task, run_s, now_s)
+        chosen = self.find(task, required, now_s)
+        if chosen or not task.failures or self.has_clean(task, now_s):
+            return chosen
+        return self.find(task, attempt_policy.ANY_WORKER, now_s)
+
+    def has_clean(self, task: work.Task, now_s: float) -> bool:
+        """Return whether a wait may get a failed task a clean worker."""
+        return any(
+            attempt_policy.allows(
+                attempt_policy.CleanWorker(), task, worker_state, now_s
+            )
+            and is_usable(worker_state, now_s)
+            for worker_state in self.workers.values()
+        )
+
+    def find(
+        self,
+        task: work.Task,
+        required: attempt_policy.Requirement,
+        now_s: float,
+    ) -> worker.Worker | None:
+        """Return the worker for a task among those it may use, or None."""
+        for _, groups in itertools.groupby(
+            self.groups, key=placement_order.standing_of
+        ):
+            found = [
+                best
+                for group in groups
+                if (best := self.best_of(group, task, required, now_s))
+            ]
+            if found:
+                return placement_order.in_time(
+                    self.run_times, task, found, now_s
+                )
+        return None
+
+    def best_of(
+        self,
+        group: placement_order.Group,
+        task: work.Task,
+        required: attempt_policy.Requirement,
+        now_s: float,
+    ) -> worker.Worker | None:
+        """Return the worker of a group for a task, or None."""
         fitting = (
             self.workers[worker_id]
-            for _, worker_id in self.order.irange((task.need.cpu, ''))
+            for _, worker_id in self.groups[group].irange((task.need.cpu, ''))
         )
         usable = (
             worker_state
             for worker_state in fitting
-            if worker_state.fits(task.need) and is_usable(worker_state, now_s)
+            if worker_state.fits(task.need)
+            and is_usable(worker_state, now_s)
+            and attempt_policy.allows(required, task, worker_state, now_s)
         )
         if task.constraint == constraints.ANYWHERE:
             candidates = itertools.islice(usable, MAX_CANDIDATES)
-            return _best(candidates, task)
+            return placement_order.best(candidates, task)
         return self.choose_constrained(task, usable)
 
     def choose_constrained(
@@ -111,7 +190,7 @@
             for worker_state in allowed
             if constraint.is_near(worker_state.worker_info.labels)
         ]
-        return _best(near or allowed, task)
+        return placement_order.best(near or allowed, task)
 
     def could_run(self, task: work.Task) -> bool:
         """Return whether any worker has the size and label for a task."""
@@ -124,6 +203,14 @@
             for worker_state in self.workers.values()
         )
 
+    def group_sizes(self) -> dict[str, int]:
+        """Return the number of workers of each standing and speed class."""
+        sizes = {}
+        for (standing, speed_class), order in self.groups.items():
+            name = standing.name.lower()
+            sizes[f'{name} {speed_class}'] = len(order)
+        return sizes
+
     def runs(self) -> Iterator[worker.Run]:
         """Yield the runs on the workers."""
         for worker_state in self.workers.values():
@@ -175,20 +262,3 @@
         if run.task.job is task.job and run.task.step == task.step
     )
     return same_step < most
-
-
-def _best(
-    candidates: Iterable[worker.Worker], task: work.Task
-) -> worker.Worker | None:
-    return min(
-        candidates, key=functools.partial(_preference, task), default=None
-    )
-
-
-def _preference(
-    task: work.Task, worker_state: worker.Worker
-) -> tuple[bool, bool, float]:
-    has_refused = worker_state.worker_info.worker_id == task.refused_by
-    # Tasks that were lost together would be lost together again.
-    is_suspected_too = bool(task.losses) and worker_state.has_suspect()
-    return has_refused, is_suspected_too, worker_state.health.run_time_ratio
--- a/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/run_tracker.py
@@ -17,7 +17,7 @@
     messages,
     outcomes,
     refused_starts,
-    stragglers,
+    run_outcomes,
     values,
     work,
     worker,
@@ -32,10 +32,6 @@
 # Time after which a worker that is neither listed nor answers is removed, in
 # seconds.
 FORGET_WORKER_S: Final = 3
-# Lower bound of an estimate, in seconds. Estimates are rough, and a shorter one
-# would make every run look slow.
-MIN_ESTIMATE_S: Final = 0.02
-
 
 # Refusals that show nothing about the worker that was to run the task.
 _NOT_ABOUT_WORKER: Final = frozenset(
@@ -50,6 +46,7 @@
         state: State of the allocator.
         crashes: Workers that were lost while they ran a task, by task.
         refused_starts: Tasks whose start was refused.
+        run_outcomes: What ended runs show about workers.
         stop_retries: Stops to send again: time, worker and run.
         accepted_stops: Accepted stops: time at which they have taken effect,
             and worker.
@@ -59,6 +56,7 @@
         self.state = state
         self.crashes = crash_records.CrashRecords(now_s=state.taken_over_s)
         self.refused_starts = refused_starts.RefusedStarts(state=state)
+        self.run_outcomes = run_outcomes.RunOutcomes(state=state)
         self.stop_retries: collections.deque[
             tuple[float, values.WorkerId, worker.Run]
         ] = collections.deque()
@@ -225,17 +223,12 @@
         """Free the capacity of an ended run, and record its end."""
         task = run.task
         self.state.remove_run(worker_state, task.name)
-        elapsed_s = now_s - run.ordered_s
         match kind:
             case values.EndKind.DONE:
-                worker_state.health.record_success(
-                    elapsed_s / max(task.estimate_s, MIN_ESTIMATE_S)
-                )
-                if not stragglers.is_straggler(run, now_s):
-                    worker_state.health.end_probation()
+                self.run_outcomes.record_done(worker_state, run, now_s)
             case values.EndKind.FAILED:
-                if worker_state.health.record_failure(now_s):
-                    self.state.log_ejection(worker_state, 'runs failed', now_s)
+                self.run_outcomes.record_failed(worker_state, task, now_s)
+        self.state.update_capacity(worker_state, now_s)
         if not task.job.closed:
             self.record_end(task, kind, now_s)
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/stragglers.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/stragglers.py
@@ -7,19 +7,29 @@
 
 from typing import Final, Protocol
 
-from guavaroad.domain.pool import allocator_state, values, worker
-
-# A run is a straggler after this multiple of its estimate plus a fixed time, in
-# seconds. Estimates may be off by 40 %, on a worker that is 30 % slower.
+from guavaroad.domain.pool import (
+    allocator_state,
+    run_times,
+    values,
+    worker,
+)
+
+# A run is a straggler after this multiple of its expected time plus a fixed
+# time, in seconds. Estimates may be off by 40 %, on a worker that is 30 %
+# slower; both are known only after some runs.
 SUSPECT_RATIO: Final = 2.2
 SUSPECT_EXTRA_S: Final = 0.15
 # An extra status poll is sent when a run has taken this multiple of its
-# estimate plus a fixed time, in seconds; half of the runs end before.
+# estimate plus a fixed time, in seconds; half of the runs end before. The
+# expected run time would not do: it contains the delays of lost answers.
 OVERDUE_RATIO: Final = 1.2
 OVERDUE_EXTRA_S: Final = 0.03
 # A run with less than this share of the progress of a steady one hangs.
 MIN_PROGRESS_SHARE: Final = 0.5
 COMPLETE_PERCENT: Final = 100
+# Lower bound of an expected time, in seconds. A shorter one would make every
+# run look slow.
+MIN_EXPECTED_S: Final = 0.02
 
 
 class RunStopper(Protocol):
@@ -48,19 +58,43 @@
         worker_state: The worker.
         now_s: Current time, in seconds.
     """
+    pool = runs.state.pool(worker_state.worker_info.pool)
     for run in tuple(worker_state.runs.values()):
         # An old report does not show the present progress of a run.
-        is_running = run.state is values.RunState.RUNNING
-        if is_running and is_straggler(
-            run, min(now_s, worker_state.last_poll_s)
-        ):
-            if worker_state.health.eject(now_s):
-                runs.state.log_ejection(
-                    worker_state, 'tasks hang or run slowly', now_s
-                )
-            if is_worth_moving(run, now_s):
-                runs.log_moved(worker_state, run)
-                runs.stop(worker_state, run)
+        seen_s = min(now_s, worker_state.last_poll_s)
+        if run.state is not values.RunState.RUNNING:
+            continue
+        if not is_straggler(pool.run_times, worker_state, run, seen_s):
+            continue
+        record_overrun(runs.state, worker_state, run, now_s)
+        restart_s = pool.run_times.expected_s(run.task) + SUSPECT_EXTRA_S
+        if is_worth_moving(run, restart_s, now_s):
+            runs.log_moved(worker_state, run)
+            runs.stop(worker_state, run)
+
+
+def record_overrun(
+    state: allocator_state.AllocatorState,
+    worker_state: worker.Worker,
+    run: worker.Run,
+    now_s: float,
+) -> None:
+    """Count a straggler once against its worker, and eject that if needed.
+
+    A worker that has ended another run in time meanwhile is not at fault.
+    """
+    if run.is_overrun:
+        return
+    run.is_overrun = True
+    pool = state.pool(worker_state.worker_info.pool)
+    health = worker_state.health
+    evidence = pool.overruns.evidence()
+    if not health.is_suspected(now_s):
+        pool.overruns.record(is_fault=True)
+    if health.in_time_s > run.ordered_s:
+        return
+    if health.record_overrun(evidence, now_s):
+        state.log_ejection(worker_state, 'tasks hang or run slowly', now_s)
 
 
 def needs_extra_poll(
@@ -86,23 +120,29 @@
     return False
 
 
-def is_straggler(run: worker.Run, now_s: float) -> bool:
-    """Return whether a run has taken far longer than estimated."""
+def is_straggler(
+    times: run_times.RunTimes,
+    worker_state: worker.Worker,
+    run: worker.Run,
+    now_s: float,
+) -> bool:
+    """Return whether a run has taken far longer than expected."""
+    expected_s = max(
+        times.expected_on_s(run.task, worker_state, now_s), MIN_EXPECTED_S
+    )
     elapsed_s = now_s - run.ordered_s
-    estimate_s = run.task.estimate_s
-    return elapsed_s > SUSPECT_RATIO * estimate_s + SUSPECT_EXTRA_S
+    return elapsed_s > SUSPECT_RATIO * expected_s + SUSPECT_EXTRA_S
 
 
-def is_worth_moving(run: worker.Run, now_s: float) -> bool:
+def is_worth_moving(run: worker.Run, restart_s: float, now_s: float) -> bool:
     """Return whether a new run would end in time and before this one.
 
     Args:
         run: A straggler.
+        restart_s: Time from its stop to the end of a new run, in seconds.
         now_s: Current time, in seconds.
     """
-    job = run.task.job
-    restart_s = run.task.estimate_s + SUSPECT_EXTRA_S
-    if now_s + restart_s > job.answer_by_s:
+    if now_s + restart_s > run.task.job.answer_by_s:
         return False
     elapsed_s = now_s - run.ordered_s
     done_share = run.percent / COMPLETE_PERCENT
--- a/packages/guavaroad/src/guavaroad/domain/pool/work.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/work.py
@@ -26,6 +26,9 @@
             refused, in seconds.
         refused_by: Worker of its last start, if that was refused.
         losses: Number of workers that were lost while they ran it.
+        failed_on: Workers on which it has failed, as far as this allocator
+            knows.
+        failed_s: Time of its last failure, in seconds.
     """
 
     job: 'Job'
@@ -42,6 +45,8 @@
     start_pause_s: float = 0
     refused_by: values.WorkerId | None = None
     losses: int = 0
+    failed_on: tuple[values.WorkerId, ...] = ()
+    failed_s: float = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -48,6 +48,9 @@
         percent: Progress in the last report, in percent.
         progressed_s: Time at which the progress last changed.
         has_begun: Whether the worker has accepted or reported it.
+        is_adopted: Whether another allocator may have ordered it, so that its
+            run time is unknown.
+        is_overrun: Whether it counts as a straggler already.
     """
 
     task: work.Task
@@ -58,6 +61,8 @@
     percent: int = 0
     progressed_s: float = 0
     has_begun: bool = False
+    is_adopted: bool = False
+    is_overrun: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker_reports.py
@@ -201,6 +201,7 @@
                 percent=entry.percent,
                 progressed_s=now_s,
                 has_begun=True,
+                is_adopted=True,
             ),
         )
         self.state.log_event(
