--- a/packages/guavaroad/src/guavaroad/domain/pool/load_shedding.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/load_shedding.py
@@ -14,6 +14,7 @@
     admission,
     allocator_state,
     declared_jobs,
+    free_room,
     job_cost,
     run_tracker,
     scarcity,
@@ -111,8 +112,11 @@
             if not task.done and job.may_begin(task.step)
         ]
         spared_cores = pool.reserve.cores_for(job.urgency)
-        return pool.capacity.fits_now(
-            first, spared_cores * values.CPU_MILLIS_PER_CORE, now_s
+        return free_room.fits_now(
+            pool.capacity,
+            first,
+            spared_cores * values.CPU_MILLIS_PER_CORE,
+            now_s,
         )
 
     def refuse(
@@ -177,7 +181,7 @@
             size=job.size.value,
             core_s=round(job_cost.core_s_of(job.tasks), 1),
             free_cores=capacity.free_cpu // values.CPU_MILLIS_PER_CORE,
-            gap_cores=capacity.largest_gap_cpu(now_s)
+            gap_cores=free_room.largest_gap_cpu(capacity, now_s)
             // values.CPU_MILLIS_PER_CORE,
             expected_ms=units.to_ms(wait_s),
             age_ms=units.to_ms(now_s - job.arrived_s),
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
@@ -12,6 +12,7 @@
 from guavaroad.domain.pool import (
     actions,
     allocator_state,
+    free_room,
     job_cost,
     messages,
     values,
@@ -77,12 +78,13 @@
         """
         if not pool.backlog.queued:
             return
-        gap_cpu = pool.capacity.largest_gap_cpu(now_s)
+        gap_cpu = free_room.largest_gap_cpu(pool.capacity, now_s)
         for job in pool.backlog.fitting(gap_cpu):
             if self.state.contacts.is_away(job.owner) or not job.waiting:
                 continue
             reserved_cores = pool.reserve.cores_for(job.urgency)
-            if pool.capacity.fits_now(
+            if free_room.fits_now(
+                pool.capacity,
                 job.waiting.values(),
                 reserved_cores * values.CPU_MILLIS_PER_CORE,
                 now_s,
