--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
@@ -14,6 +14,7 @@
     job_admission,
     orphans,
     placement_scheduler,
+    pool_state,
     run_tracker,
     stragglers,
     takeover,
@@ -121,7 +122,7 @@
             self.check_worker(worker_state, now_s)
 
     def give_up_late(
-        self, pool: allocator_state.PoolState, job: work.Job, now_s: float
+        self, pool: pool_state.PoolState, job: work.Job, now_s: float
     ) -> None:
         """Give up a job that can no longer finish in time."""
         waiting_core_s = pool.backlog.core_s_ahead(job.urgency)
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator_state.py
@@ -6,51 +6,17 @@
 from guavaroad.domain import names, units
 from guavaroad.domain.pool import (
     actions,
-    backlog,
-    capacity_reserve,
     closed_jobs,
     messages,
     open_runs,
     owner_contacts,
-    placement,
-    return_times,
-    run_times,
-    scarcity,
-    service_shares,
+    pool_state,
     values,
     work,
     worker,
-    worker_health,
 )
 
 
-class PoolState:
-    """Workers and waiting jobs of one pool.
-
-    Attributes:
-        run_times: Expected run times.
-        capacity: Workers by free capacity.
-        task_faults: Share of runs that fail by the fault of their task.
-        overruns: Share of runs that take far longer than expected.
-        backlog: Waiting jobs.
-        room: Demand, and the room that the workers have.
-        shares: Shares of the size classes and callers.
-        returns: Booked returns of refused jobs.
-        reserve: Capacity that is kept for urgent jobs.
-    """
-
-    def __init__(self) -> None:
-        self.run_times = run_times.RunTimes()
-        self.capacity = placement.CapacityIndex(times=self.run_times)
-        self.task_faults = worker_health.FaultShare()
-        self.overruns = worker_health.FaultShare()
-        self.backlog = backlog.Backlog()
-        self.room = scarcity.Room()
-        self.shares = service_shares.ServiceShares()
-        self.returns = return_times.ReturnTimes()
-        self.reserve = capacity_reserve.CapacityReserve()
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EarlyEnd:
     """An end of a run that was reported before its job was declared.
@@ -93,7 +59,7 @@
         self.taken_over_s = now_s
         self.jobs: dict[values.JobId, work.Job] = {}
         self.workers: dict[values.WorkerId, worker.Worker] = {}
-        self.pools: dict[names.PoolName, PoolState] = {}
+        self.pools: dict[names.PoolName, pool_state.PoolState] = {}
         self.closed = closed_jobs.ClosedJobs(now_s=now_s)
         self.early_ends: dict[values.TaskName, EarlyEnd] = {}
         self.tasks: dict[values.TaskName, work.Task] = {}
@@ -138,11 +104,11 @@
             pause_ms=units.to_ms(worker_state.health.ejected_until_s - now_s),
         )
 
-    def pool(self, name: names.PoolName) -> PoolState:
+    def pool(self, name: names.PoolName) -> pool_state.PoolState:
         """Return the state of a pool; create it if needed."""
         state = self.pools.get(name)
         if state is None:
-            state = PoolState()
+            state = pool_state.PoolState()
             self.pools[name] = state
         return state
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/load_shedding.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/load_shedding.py
@@ -16,6 +16,7 @@
     declared_jobs,
     free_room,
     job_cost,
+    pool_state,
     run_tracker,
     scarcity,
     values,
@@ -80,7 +81,7 @@
         return True
 
     def is_admitted(
-        self, pool: allocator_state.PoolState, job: work.Job, now_s: float
+        self, pool: pool_state.PoolState, job: work.Job, now_s: float
     ) -> bool:
         """Return whether a new job is queued rather than refused."""
         if not pool.backlog.on_time_core_s(job.urgency):
@@ -103,7 +104,7 @@
         return self.fits_now(pool, job, now_s)
 
     def fits_now(
-        self, pool: allocator_state.PoolState, job: work.Job, now_s: float
+        self, pool: pool_state.PoolState, job: work.Job, now_s: float
     ) -> bool:
         """Return whether the first tasks of a job could start right now."""
         first = [
@@ -120,7 +121,7 @@
         )
 
     def refuse(
-        self, pool: allocator_state.PoolState, job: work.Job, now_s: float
+        self, pool: pool_state.PoolState, job: work.Job, now_s: float
     ) -> None:
         """Refuse a job that has just arrived."""
         wait_s = self.expected_wait_s(job, now_s)
@@ -141,9 +142,7 @@
             if not self.is_warming_up(pool, now_s):
                 self.evict_late_of(pool, now_s)
 
-    def evict_late_of(
-        self, pool: allocator_state.PoolState, now_s: float
-    ) -> None:
+    def evict_late_of(self, pool: pool_state.PoolState, now_s: float) -> None:
         """Evict late jobs of one pool."""
         cores = pool.capacity.cores(now_s)
         for urgency in pool.backlog.lanes:
@@ -152,7 +151,7 @@
                     self.evict(pool, job, now_s)
 
     def evict(
-        self, pool: allocator_state.PoolState, job: work.Job, now_s: float
+        self, pool: pool_state.PoolState, job: work.Job, now_s: float
     ) -> None:
         """Evict a late job, unless its tasks fit right now."""
         if self.fits_now(pool, job, now_s):
@@ -187,9 +186,7 @@
             age_ms=units.to_ms(now_s - job.arrived_s),
         )
 
-    def is_warming_up(
-        self, pool: allocator_state.PoolState, now_s: float
-    ) -> bool:
+    def is_warming_up(self, pool: pool_state.PoolState, now_s: float) -> bool:
         """Return whether too few workers are usable yet to refuse jobs."""
         since_s = now_s - self.state.taken_over_s
         return since_s < WARM_UP_S or not pool.capacity.cores(now_s)
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -237,8 +237,7 @@
         now_s: Current time, in seconds.
     """
     if (
-        worker_state.worker_info.draining
-        or worker_state.is_evacuated
+        worker_state.is_withdrawn()
         or not worker_state.is_synced
         or worker_state.unclaimed_runs
         or worker_state.has_silent_owner()
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
@@ -15,6 +15,7 @@
     free_room,
     job_cost,
     messages,
+    pool_state,
     values,
     work,
     worker,
@@ -40,7 +41,7 @@
         for pool in self.state.pools.values():
             self.place_pool(pool, now_s)
 
-    def place_pool(self, pool: allocator_state.PoolState, now_s: float) -> None:
+    def place_pool(self, pool: pool_state.PoolState, now_s: float) -> None:
         """Place the waiting tasks of one pool."""
         if pool.reserve.is_due(now_s):
             pool.reserve.update(pool.capacity.runs(), now_s)
@@ -52,9 +53,7 @@
             now_s=now_s,
         )
 
-    def place_heads(
-        self, pool: allocator_state.PoolState, now_s: float
-    ) -> None:
+    def place_heads(self, pool: pool_state.PoolState, now_s: float) -> None:
         """Place the first jobs in the order of service."""
         misses = 0
         cores = pool.capacity.cores(now_s)
@@ -70,7 +69,7 @@
             if misses == MAX_MISSES:
                 return
 
-    def fill_gaps(self, pool: allocator_state.PoolState, now_s: float) -> None:
+    def fill_gaps(self, pool: pool_state.PoolState, now_s: float) -> None:
         """Place whole jobs that fit into gaps that the heads don't fit into.
 
         The heads keep their turn: they are tried first in each pass, and the
@@ -92,7 +91,7 @@
                 self.place_job(pool, job, now_s)
 
     def place_job(
-        self, pool: allocator_state.PoolState, job: work.Job, now_s: float
+        self, pool: pool_state.PoolState, job: work.Job, now_s: float
     ) -> bool:
         """Place the tasks of a job; return whether all found a worker."""
         starts = []
@@ -115,7 +114,7 @@
 
     def start(
         self,
-        pool: allocator_state.PoolState,
+        pool: pool_state.PoolState,
         task: work.Task,
         worker_state: worker.Worker,
         now_s: float,
--- a/packages/guavaroad/src/guavaroad/domain/pool/worker.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/worker.py
@@ -163,6 +163,10 @@
         if clock_ms >= 0 and run.ordered_s >= self.incarnation_seen_s:
             self.lease.read_clock(clock_ms, now_s)
 
+    def is_withdrawn(self) -> bool:
+        """Return whether it is about to leave, or its zone is evacuated."""
+        return self.worker_info.draining or self.is_evacuated
+
     def may_have_runs(self) -> bool:
         """Return whether it may have any run."""
         return bool(self.runs or self.unclaimed_runs)
