Count workers of silent owners for admission

When an instance is lost, nearly every worker has a run of it: jobs would be refused as too many.

Change: only the choice of a worker leaves it out.

--- a/features/pool/lost_owners.feature
+++ b/features/pool/lost_owners.feature
@@ -52,6 +52,7 @@
     When one of the owners withdraws its job, and the stop is not answered
     And one of the owners is silent for 0.7 s
     Then a job of the other owner is not started
+    And the cores of the worker still count for admission
 
   Scenario: A message that has waited in a pause does not count as sent after it
     Given an allocator with runs of two owners on one worker
--- a/features/steps/lost_owner_steps.py
+++ b/features/steps/lost_owner_steps.py
@@ -217,3 +217,9 @@
 def then_state(context, state):
     is_open = values.JobId(f'of-{LOST}') in context.scene.machine.state.jobs
     assert is_open is (state == 'open')
+
+
+@behave.then('the cores of the worker still count for admission')
+def then_cores(context):
+    scene = context.scene
+    assert scene.machine.state.pool('pool').capacity.cores(scene.now_s)
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -83,7 +83,9 @@
         usable = (
             worker_state
             for worker_state in fitting
-            if worker_state.fits(task.need) and is_usable(worker_state, now_s)
+            if worker_state.fits(task.need)
+            and is_usable(worker_state, now_s)
+            and not worker_state.has_silent_owner()
         )
         if task.constraint == constraints.ANYWHERE:
             candidates = itertools.islice(usable, MAX_CANDIDATES)
@@ -153,7 +155,6 @@
         worker_state.worker_info.draining
         or not worker_state.is_synced
         or worker_state.unclaimed_runs
-        or worker_state.has_silent_owner()
     ):
         return False
     unlisted_since_s = worker_state.unlisted_since_s
