--- a/packages/guavaroad/src/guavaroad/domain/pool/free_room.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/free_room.py
@@ -48,7 +48,7 @@
         *(reversed(order) for order in capacity.groups.values()), reverse=True
     )
     for free_cpu, worker_id in itertools.islice(emptiest_first, MAX_EXAMINED):
-        if placement.is_usable(capacity.workers[worker_id], now_s):
+        if placement.may_start(capacity.workers[worker_id], now_s):
             return int(free_cpu)
     return 0
 
@@ -73,7 +73,7 @@
             left_cpu >= 0
             and worker_state.fits(task.need)
             and task.constraint.allows(worker_state.worker_info.labels)
-            and placement.is_usable(worker_state, now_s)
+            and placement.may_start(worker_state, now_s)
         ):
             taken[worker_id] = taken.get(worker_id, 0) + task.need.cpu
             return True
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -161,7 +161,7 @@
             worker_state
             for worker_state in fitting
             if worker_state.fits(task.need)
-            and is_usable(worker_state, now_s)
+            and may_start(worker_state, now_s)
             and attempt_policy.allows(required, task, worker_state, now_s)
         )
         if task.constraint == constraints.ANYWHERE:
@@ -229,6 +229,21 @@
         return self.usable_cores
 
 
+def may_start(worker_state: worker.Worker, now_s: float) -> bool:
+    """Return whether a task may start on a worker at this moment.
+
+    It may not while a lease there has to end because the owner of a run is
+    silent; the worker still counts as usable.
+
+    Args:
+        worker_state: The worker.
+        now_s: Current time, in seconds.
+    """
+    return not worker_state.has_silent_owner() and is_usable(
+        worker_state, now_s
+    )
+
+
 def is_usable(worker_state: worker.Worker, now_s: float) -> bool:
     """Return whether a worker may get a new task.
 
@@ -240,7 +255,6 @@
         worker_state.is_withdrawn()
         or not worker_state.is_synced
         or worker_state.unclaimed_runs
-        or worker_state.has_silent_owner()
     ):
         return False
     unlisted_since_s = worker_state.unlisted_since_s
