Free the memory of a term as allocator at its end

Cause: a term's state is in reference cycles, with two filters of 16 MB each that are written when they are made; a process without load hardly ever runs a collection.

Closed links drop their callbacks. A process collects its garbage 2 s after the end of a term.

--- a/packages/guavaroad/src/guavaroad/adapters/garbage.py
+++ b/packages/guavaroad/src/guavaroad/adapters/garbage.py
@@ -8,6 +8,14 @@
 COLLECTION_THRESHOLD: Final = 20_000
 
 
+def collect() -> None:
+    """Free the objects in reference cycles that are no longer in use.
+
+    The usual collections come too seldom for an idle process.
+    """
+    gc.collect()
+
+
 def exempt_startup_objects() -> None:
     """Let no collection visit what the start has created, since it lasts."""
     gc.collect()
--- a/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/closed_jobs.py
@@ -73,3 +73,8 @@
         super().expire(now_s)
         self.started.expire(now_s)
         self.reported.expire(now_s)
+
+    def clear_filters(self) -> None:
+        """Free the memory of the filters, when the allocator has stopped."""
+        self.started.clear()
+        self.reported.clear()
--- a/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
@@ -187,6 +187,8 @@
         for subscription in self.subscriptions:
             subscription.cancel()
         self.executor.status_poller.remove_all()
+        # The allocator is part of reference cycles.
+        self.machine.state.closed.clear_filters()
         if retiring:
             for link in self.links.links.values():
                 link.send(peer_messages.Retiring())
--- a/packages/guavaroad/src/guavaroad/services/pool/dependencies.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/dependencies.py
@@ -1,11 +1,16 @@
 """What the parts of a pool instance share."""
 
 import dataclasses
+from collections.abc import Callable
 
 from guavaroad.ports import pool, timers
 from guavaroad.services.pool import decision_log, instance_links
 
 
+def _ignore() -> None:
+    """Leave the objects to the collector."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Dependencies:
     """External dependencies of a pool instance.
@@ -20,6 +25,8 @@
         link_bytes_per_s: Capacity of this machine's link, in bytes a second.
         worker_list_period_s: Period in which the allocator reads the worker
             list, in seconds.
+        collect_garbage: Frees objects in reference cycles, such as the
+            allocator of a term that has ended.
     """
 
     workers: pool.WorkersPort
@@ -30,3 +37,4 @@
     decision_log: decision_log.DecisionLog
     link_bytes_per_s: float
     worker_list_period_s: float
+    collect_garbage: Callable[[], object] = _ignore
--- a/packages/guavaroad/src/guavaroad/services/pool/instance_links.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/instance_links.py
@@ -185,12 +185,18 @@
                 link.abort()
 
     def close(self) -> None:
-        """Close every link, and open no more."""
+        """Close every link, and open no more.
+
+        A link may be kept for some time, but keeps no allocator.
+        """
         self.closed = True
         links = tuple(self.links.values())
         self.links = {}
         for link in links:
             link.close()
+        self.on_link = _ignore
+        self.on_message = _ignore
+        self.on_lost = _ignore
 
 
 def _ignore(*_: Any) -> None:
--- a/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/pool_instance.py
@@ -35,6 +35,9 @@
 # An instance reports not ready after this time without an allocator, in
 # seconds. A takeover takes less.
 READY_WITHOUT_ALLOCATOR_S: Final = 1.2
+# Delay between the end of a term and the collection of its objects, in seconds.
+# Its calls have timed out by then.
+COLLECTION_DELAY_S: Final = 2
 
 
 class PoolInstance:
@@ -225,6 +228,9 @@
                 jobs=len(stopped.machine.state.jobs),
                 retiring=retiring,
             )
+            self.timers.call_after(
+                COLLECTION_DELAY_S, self.dependencies.collect_garbage
+            )
 
     def is_ready(self) -> bool:
         """Return whether this instance accepts new connections."""
