--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,9 @@
 bench-stops: setup
 	$(BIN)/python -m bench.stops
 
+bench-terms: setup
+	$(BIN)/python -m bench.terms
+
 bench-slots: setup
 	$(BIN)/python -m bench.slots
 
