--- a/features/platform/processes.feature
+++ b/features/platform/processes.feature
@@ -40,6 +40,7 @@
       | request                       | status |
       | a body that is not JSON       | 400    |
       | a body over the size limit    | 413    |
+      | a task spec of 4,001 bytes    | 400    |
       | steps of a wrong type         | 400    |
       | an id of 15 digits            | 400    |
       | a job that is not best-effort | 503    |
--- a/features/support/platform_requests.py
+++ b/features/support/platform_requests.py
@@ -30,6 +30,7 @@
     bodies = {
         'a body that is not JSON': object,
         'a body over the size limit': valid_job(TaskSpec=LONG_TEXT),
+        'a task spec of 4,001 bytes': valid_job(TaskSpec='x' * 4001),
         'steps of a wrong type': valid_job(Steps=7),
         'a job that is not best-effort': valid_job(BestEffort=False),
         'a job without tasks': valid_job(Steps=[{'Count': 0}]),
--- a/packages/guavaroad/src/guavaroad/adapters/server_connection.py
+++ b/packages/guavaroad/src/guavaroad/adapters/server_connection.py
@@ -126,7 +126,8 @@
         if self.unparsed:
             self.unparsed += data
             return
-        if self.queue or len(data) > PART_BYTES:
+        is_small = len(data) <= PART_BYTES
+        if self.queue or not is_small or self.flow.answers_unread:
             self.unparsed = data
             self.work(work_turns.FIRST_WORK)
             return
