--- a/packages/guavaroad/src/guavaroad/domain/pool/backlog.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/backlog.py
@@ -241,10 +241,10 @@
     return now_s + admission.STARTED_SHARE * job.estimate_s > job.answer_by_s
 
 
-def _need_key(job: work.Job) -> tuple[int, float, int]:
+def _need_key(job: work.Job) -> tuple[int, float, str]:
     largest = max(task.need.cpu for task in job.tasks)
     # Of equals the oldest is tried first.
-    return largest, -job.arrived_s, id(job)
+    return largest, -job.arrived_s, job.job_id
 
 
 def _core_s(task: work.Task) -> float:
--- a/packages/guavaroad/src/guavaroad/domain/pool/scarcity.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/scarcity.py
@@ -21,9 +21,9 @@
 # large jobs are refused at a shorter queue.
 WAIT_SHARES: Final[Mapping[values.Size, float]] = types.MappingProxyType(
     {
-        values.Size.SMALL: 0.65,
-        values.Size.MIDDLE: 0.55,
-        values.Size.LARGE: 0.45,
+        values.Size.SMALL: 0.7,
+        values.Size.MIDDLE: 0.4,
+        values.Size.LARGE: 0.35,
     }
 )
 # The same for jobs of a class below its floor, and for those that return after
