Examine faster workers only if needed, and move no task that is long itself

Cause: every speed class was examined for each task, and all workers were grouped anew in each second tick.

Change: a choice ends at the first worker on which the task is in time; a tenth of the workers is grouped in each tick. A task is taken to be long itself if its worker has ended another run in time meanwhile, or if it straggles on a second worker.

--- a/features/pool/run_times.feature
+++ b/features/pool/run_times.feature
@@ -31,6 +31,20 @@
     When a run on "slow" takes 7 times as long
     Then the expected time on "slow" has grown by at most 5 of 100
 
+  Scenario Outline: A straggler is moved only where it ends sooner
+    # Tasks that were long themselves were stopped and started three times.
+    Given run times learned from 60 runs on workers of labels "slow" and "fast"
+    When a run on "slow" is at <percent> of 100 after 2 s and <worker>
+    Then it <is moved>
+
+    Examples:
+      | percent | worker                              | is moved     |
+      | 10      | no other run has ended there        | is moved     |
+      | 10      | another run has ended there in time | is not moved |
+      | 10      | its task has been moved before      | is not moved |
+      | 0       | its task has been moved before      | is moved     |
+      | 90      | no other run has ended there        | is not moved |
+
   Scenario: A run that was adopted teaches nothing
     Given an allocator that has adopted a run
     When the adopted run ends
--- a/features/steps/run_times_steps.py
+++ b/features/steps/run_times_steps.py
@@ -4,7 +4,14 @@
 
 import behave
 
-from guavaroad.domain.pool import leases, run_times, values, work, worker
+from guavaroad.domain.pool import (
+    leases,
+    run_times,
+    stragglers,
+    values,
+    work,
+    worker,
+)
 from guavaroad_standins import pool_worker
 from support import pool_replays
 
@@ -215,3 +222,37 @@
 @behave.then('no run time is learned')
 def then_not_learned(context):
     assert not context.replay.pool.run_times.kinds
+
+
+@behave.when(
+    'a run on "{label}" is at {percent:d} of 100 after {elapsed:d} s and {state}'
+)
+def when_straggles(context, label, percent, elapsed, state):
+    now_s = 1 + elapsed
+    worker_state = worker_of(label, 99)
+    context.task.job.answer_by_s = now_s + 60
+    context.task.was_moved = 'moved before' in state
+    if 'in time' in state:
+        worker_state.health.end_probation(now_s)
+    run = worker.Run(
+        task=context.task,
+        number=values.FIRST_RUN,
+        state=values.RunState.RUNNING,
+        ordered_s=1,
+        reportable_s=1,
+        percent=percent,
+    )
+    restart_s = stragglers.expected_restart_s(
+        context.times, worker_state, run, now_s
+    )
+    context.is_moved = stragglers.is_worth_moving(run, restart_s, now_s)
+
+
+@behave.then('it is moved')
+def then_moved(context):
+    assert context.is_moved
+
+
+@behave.then('it is not moved')
+def then_not_moved(context):
+    assert not context.is_moved
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
@@ -27,6 +27,8 @@
 # Ticks after which every worker was checked. A check visits all runs; those of
 # hundreds of workers in each tick would take several percent of a core.
 CHECK_PARTS: Final = 2
+# Ticks after which every worker is in the group that it belongs to.
+REGROUP_PARTS: Final = 10
 # Interval between log lines about the groups of workers, in seconds.
 LOG_GROUPS_S: Final = 5
 
@@ -44,6 +46,7 @@
         takeover: Cleans up after the previous allocator.
         placement_scheduler: Places tasks.
         checked_part: Part of the workers that was last checked.
+        regrouped_part: Part of the workers that was last grouped.
         groups_logged_s: Time of the last log line about the groups of workers.
     """
 
@@ -66,6 +69,7 @@
         self.orphans = orphans.Orphans(state=self.state, runs=self.runs)
         self.takeover = takeover.Takeover(state=self.state)
         self.checked_part = 0
+        self.regrouped_part = 0
         self.groups_logged_s = now_s
         self.placement_scheduler = placement_scheduler.PlacementScheduler(
             state=self.state
@@ -117,6 +121,11 @@
         workers = tuple(self.state.workers.values())
         for worker_state in workers[self.checked_part :: CHECK_PARTS]:
             self.check_worker(worker_state, now_s)
+        # A worker also joins another group by the passage of time alone.
+        self.regrouped_part = (self.regrouped_part + 1) % REGROUP_PARTS
+        for worker_state in workers[self.regrouped_part :: REGROUP_PARTS]:
+            if worker_state.worker_info.worker_id in self.state.workers:
+                self.state.update_capacity(worker_state, now_s)
 
     def give_up_late(
         self, pool: allocator_state.PoolState, job: work.Job, now_s: float
@@ -145,7 +154,6 @@
             )
             self.reports.lost_workers.on_lapsed(worker_state, now_s)
         stragglers.stop_stragglers(self.runs, worker_state, now_s)
-        self.state.update_capacity(worker_state, now_s)
         repeat_s = self.reports.answer_times.repeat_interval_s()
         if stragglers.needs_extra_poll(worker_state, now_s, repeat_s):
             worker_state.extra_poll_s = now_s
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -134,15 +134,12 @@
         for _, groups in itertools.groupby(
             self.groups, key=placement_order.standing_of
         ):
-            found = [
-                best
-                for group in groups
-                if (best := self.best_of(group, task, required, now_s))
-            ]
+            bests = (
+                self.best_of(group, task, required, now_s) for group in groups
+            )
+            found = placement_order.in_time(self.run_times, task, bests, now_s)
             if found:
-                return placement_order.in_time(
-                    self.run_times, task, found, now_s
-                )
+                return found
         return None
 
     def best_of(
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement_order.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement_order.py
@@ -7,7 +7,7 @@
 
 import enum
 import functools
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import Final
 
 from guavaroad.domain.pool import run_times, work, worker
@@ -56,33 +56,34 @@
 def in_time(
     times: run_times.RunTimes,
     task: work.Task,
-    found: Sequence[worker.Worker],
+    bests: Iterable[worker.Worker | None],
     now_s: float,
-) -> worker.Worker:
+) -> worker.Worker | None:
     """Return the slowest worker on which a task will be in time.
 
-    If there is none, the fastest one.
+    If there is none, the fastest one. Faster workers are not examined if one
+    will do.
 
     Args:
         times: Expected run times.
         task: The task.
-        found: Workers of rising speed, at least one.
+        bests: The preferred worker of each group, if any, of rising speed.
         now_s: Current time, in seconds.
+
+    Returns:
+        The worker; None if there is none.
     """
-    if len(found) == 1:
-        return found[0]
-    flags = [_preference_flags(task, worker_state) for worker_state in found]
-    fewest = min(flags)
-    chosen = [
-        worker_state
-        for worker_state, flag in zip(found, flags, strict=True)
-        if flag == fewest
-    ]
     left_s = time_for(task, now_s)
-    for worker_state in chosen:
-        if times.cautious_on_s(task, worker_state, now_s) <= left_s:
+    found = []
+    for worker_state in bests:
+        if worker_state is None:
+            continue
+        flags = _preference_flags(task, worker_state)
+        run_s = times.cautious_on_s(task, worker_state, now_s)
+        if not flags and run_s <= left_s:
             return worker_state
-    return chosen[-1]
+        found.append((flags, max(run_s, left_s), worker_state))
+    return min(found, key=_flags_and_run_s)[-1] if found else None
 
 
 def time_for(task: work.Task, now_s: float) -> float:
@@ -99,6 +100,12 @@
     return left_s * task.estimate_s / open_s
 
 
+def _flags_and_run_s(
+    candidate: tuple[int, float, worker.Worker],
+) -> tuple[int, float]:
+    return candidate[:2]
+
+
 def _preference(
     task: work.Task, worker_state: worker.Worker
 ) -> tuple[int, float]:
--- a/packages/guavaroad/src/guavaroad/domain/pool/stragglers.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/stragglers.py
@@ -67,8 +67,9 @@
         if not is_straggler(pool.run_times, worker_state, run, seen_s):
             continue
         record_overrun(runs.state, worker_state, run, now_s)
-        restart_s = pool.run_times.expected_s(run.task) + SUSPECT_EXTRA_S
+        restart_s = expected_restart_s(pool.run_times, worker_state, run, now_s)
         if is_worth_moving(run, restart_s, now_s):
+            run.task.was_moved = True
             runs.log_moved(worker_state, run)
             runs.stop(worker_state, run)
 
@@ -134,9 +135,32 @@
     return elapsed_s > SUSPECT_RATIO * expected_s + SUSPECT_EXTRA_S
 
 
+def expected_restart_s(
+    times: run_times.RunTimes,
+    worker_state: worker.Worker,
+    run: worker.Run,
+    now_s: float,
+) -> float:
+    """Return the time from a stop to the end of a new run, in seconds.
+
+    If the worker has ended another run in time meanwhile, the task is long
+    itself, and would be on any worker of the same speed.
+    """
+    expected_s = times.expected_s(run.task)
+    if run.percent and worker_state.health.in_time_s > run.ordered_s:
+        elapsed_s = now_s - run.ordered_s
+        here_s = elapsed_s * COMPLETE_PERCENT / run.percent
+        expected_here_s = times.expected_on_s(run.task, worker_state, now_s)
+        expected_s *= max(here_s / max(expected_here_s, MIN_EXPECTED_S), 1)
+    return expected_s + SUSPECT_EXTRA_S
+
+
 def is_worth_moving(run: worker.Run, restart_s: float, now_s: float) -> bool:
     """Return whether a new run would end in time and before this one.
 
+    A task that straggles on a second worker is long itself; unless it hangs, it
+    is not moved again.
+
     Args:
         run: A straggler.
         restart_s: Time from its stop to the end of a new run, in seconds.
@@ -148,5 +172,7 @@
     done_share = run.percent / COMPLETE_PERCENT
     if not done_share:
         return True
+    if run.task.was_moved:
+        return False
     left_s = elapsed_s * (1 - done_share) / done_share
     return left_s > restart_s / MIN_PROGRESS_SHARE
--- a/packages/guavaroad/src/guavaroad/domain/pool/work.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/work.py
@@ -29,6 +29,7 @@
         failed_on: Workers on which it has failed, as far as this allocator
             knows.
         failed_s: Time of its last failure, in seconds.
+        was_moved: Whether a straggling run of it was stopped to start again.
     """
 
     job: 'Job'
@@ -47,6 +48,7 @@
     losses: int = 0
     failed_on: tuple[values.WorkerId, ...] = ()
     failed_s: float = 0
+    was_moved: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
