--- a/features/steps/run_times_steps.py
+++ b/features/steps/run_times_steps.py
@@ -6,6 +6,7 @@
 
 from guavaroad.domain.pool import (
     leases,
+    owner_contacts,
     run_times,
     stragglers,
     values,
@@ -124,7 +125,11 @@
         pool_worker.worker_info_of(number, zone='a'),
         labels=(label, f'rack-{number // 2 % 2}'),
     )
-    return worker.Worker(worker_info=worker_info, lease=leases.Lease(ends_s=0))
+    return worker.Worker(
+        worker_info=worker_info,
+        lease=leases.Lease(ends_s=0),
+        contacts=owner_contacts.OwnerContacts(now_s=0),
+    )
 
 
 @behave.given(
