--- a/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
@@ -12,6 +12,7 @@
 from guavaroad.domain.pool import (
     actions,
     allocator_state,
+    attempt_policy,
     free_room,
     job_cost,
     messages,
@@ -65,7 +66,8 @@
             if self.state.contacts.is_away(job.owner):
                 continue
             if not self.place_job(pool, job, now_s):
-                misses += 1
+                # One that waits for a better worker leaves room for others.
+                misses += not attempt_policy.may_wait(job, now_s)
             if misses == MAX_MISSES:
                 return
 
