Mend what the review of the joined parts has found

Leases: the jobs of an owner whose link is open again are kept for 0.2 s, once, until it answers.

Slow bodies have 1 KiB/s in place of 16 KiB/s, and a request behind a handled one has its time-out from the answer on.

The signature of on_owner_linked has gained the time; one step passes it.

--- a/features/steps/lost_owner_steps.py
+++ b/features/steps/lost_owner_steps.py
@@ -208,7 +208,7 @@
             orphans.on_owner_lost(LOST, context.scene.now_s, timed_out=False)
         run_heard(context, REDIAL_S, (KEPT,))
         if seen != 'not linked':
-            orphans.on_owner_linked(LOST)
+            orphans.on_owner_linked(LOST, context.scene.now_s)
         if seen == 'linked and answers':
             orphans.on_owner_heard(LOST)
 
--- a/packages/guavaroad/src/guavaroad/adapters/client_guard.py
+++ b/packages/guavaroad/src/guavaroad/adapters/client_guard.py
@@ -37,6 +37,7 @@
         held: What each connection holds.
         turns: Connections that wait for a turn.
         is_scheduled: Whether their next turn is scheduled.
+        is_refusing: Whether the largest holders are being refused.
         connections: Open connections.
         on_refused: Called with the name of a log event for each refusal.
     """
@@ -58,6 +59,7 @@
         )
         self.turns: work_turns.WorkTurns[Connection] = work_turns.WorkTurns()
         self.is_scheduled = False
+        self.is_refusing = False
         self.connections: set[Connection] = set()
 
     def admit(self, connection: Connection) -> bool:
@@ -99,11 +101,15 @@
             size: Bytes of its unfinished requests and unread answers.
         """
         self.held.set_held(connection, size)
+        if self.is_refusing:
+            return
+        self.is_refusing = True
         limit = self.limits.held_limit(
             self.bounds.head_bytes, self.bounds.body_bytes
         )
         for largest in self.held.largest(limit):
             largest.refuse(client_limits.Reason.HELD_BYTES)
+        self.is_refusing = False
 
     def wait_turn(self, connection: Connection) -> None:
         """Let a connection with work left wait for its turn."""
--- a/packages/guavaroad/src/guavaroad/adapters/connection_timeouts.py
+++ b/packages/guavaroad/src/guavaroad/adapters/connection_timeouts.py
@@ -73,5 +73,7 @@
     receiver = connection.receiver
     timeout_s = receiver.bounds.head_timeout_s
     limit_s = client_limits.receive_limit_s(timeout_s, len(receiver.body))
-    since_s = max(receiver.begun_s, connection.last_active_s)
-    return now_s - receiver.read_s > timeout_s or now_s - since_s > limit_s
+    active_s = connection.last_active_s
+    since_s = max(receiver.begun_s, active_s)
+    read_s = max(receiver.read_s, active_s)
+    return now_s - read_s > timeout_s or now_s - since_s > limit_s
--- a/packages/guavaroad/src/guavaroad/adapters/request_receiver.py
+++ b/packages/guavaroad/src/guavaroad/adapters/request_receiver.py
@@ -141,6 +141,9 @@
         request.headers = self.headers
         request.body = bytes(self.body)
         self.queue.append(request)
+        # The request alone keeps them, and only until it is handled.
+        self.url = b''
+        self.headers = {}
         self.body = b''
 
     def drop(self) -> None:
--- a/packages/guavaroad/src/guavaroad/adapters/server_connection.py
+++ b/packages/guavaroad/src/guavaroad/adapters/server_connection.py
@@ -197,10 +197,15 @@
         """
         if self.state is not State.OPEN:
             return
+        is_memory_short = reason is client_limits.Reason.HELD_BYTES
+        if is_memory_short and self.flow.answers_unread:
+            # One more answer would only add to those.
+            self.abort(reason)
+            return
         self.receiver.error = reason
         self.receiver.drop()
         self.unparsed = b''
-        if reason is client_limits.Reason.HELD_BYTES:
+        if is_memory_short:
             while len(self.queue) > int(self.handling):
                 self.queue.pop()
         if not self.queue:
@@ -212,6 +217,8 @@
 
         Without a shortage of connections it is closed a little later.
         """
+        if self.state is not State.OPEN:
+            return
         self.listener.guard.report(reason)
         answer = http_exchange.Answer(status=_STATUSES[reason].value)
         self.state = State.LINGERING
@@ -254,6 +261,7 @@
         self.state = State.CLOSED
         self.unparsed = b''
         self.receiver.drop()
+        self.listener.guard.held.set_held(self, 0)
         self.transport.abortConnection()
 
     def activity(self) -> tuple[client_limits.Activity, float]:
--- a/packages/guavaroad/src/guavaroad/domain/client_limits.py
+++ b/packages/guavaroad/src/guavaroad/domain/client_limits.py
@@ -32,7 +32,7 @@
 BLANK_BYTES: Final = 1024
 # Slowest body, in bytes per second. At this rate the largest body takes longer
 # than any client waits for its answer.
-MIN_BODY_RATE: Final = 16_384
+MIN_BODY_RATE: Final = 1024
 # Memory of a stored header besides its text, in bytes.
 HEADER_BYTES: Final = 200
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/declared_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/declared_jobs.py
@@ -42,7 +42,7 @@
         ),
         answer_by_s=arrived_s + client_timeout_s,
         may_have_started=any(
-            declared_task.run for declared_task in declared.tasks
+            declared_task.has_started() for declared_task in declared.tasks
         ),
     )
     job.tasks = tuple(
--- a/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/earlier_declarations.py
@@ -147,7 +147,7 @@
 
 def shows_start(declared: messages.Declare) -> bool:
     """Return whether tasks may have started by what the owner knows."""
-    is_started = any(task.run for task in declared.tasks)
+    is_started = any(task.has_started() for task in declared.tasks)
     return is_started or declared.may_hide_starts()
 
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -99,6 +99,8 @@
             self.owner_changes.change_owner(job, owner)
             self.add_known_starts(job, declared, now_s)
         job.attempt = declared.attempt
+        job.payload = declared.payload
+        job.owner_has_payload = declared.owner_has_payload
         job.may_have_run_before |= earlier_declarations.shows_start(declared)
         self.owner_changes.resend_missed(job, declared)
 
--- a/packages/guavaroad/src/guavaroad/domain/pool/messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/messages.py
@@ -37,6 +37,10 @@
     constraint: constraints.Constraint = constraints.ANYWHERE
     losses: int = 0
 
+    def has_started(self) -> bool:
+        """Return whether a run is known, also by its end alone."""
+        return bool(self.run or self.done or self.failures)
+
 
 class Declare(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Ask for the tasks of a job to be placed: a new job, or after a takeover.
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
@@ -156,9 +156,9 @@
             without the owner's knowledge.
         may_have_run_before: Whether an earlier attempt at this instance may
             have run.
-        starts_known: Whether this instance knows of every start that may have
-            been sent: no allocator was given the payload, without which
-            nothing starts.
+        starts_known: Whether this instance knows of every start of this attempt
+            that may have been sent: it gave no allocator the payload, without
+            which nothing starts.
         history: Events so far, for the log of a failure.
         timers: Timers to cancel when the job ends.
     """
@@ -181,7 +181,7 @@
         """Return whether a task may have started."""
         may_hide = self.unconfirmed and not self.starts_known
         is_unknown = may_hide or self.may_have_run_before
-        return is_unknown or any(task.run for task in self.tasks)
+        return is_unknown or any(map(has_started, self.tasks))
 
     def is_unstarted(self) -> bool:
         """Return whether no task has started, whatever an allocator decided.
@@ -285,6 +285,11 @@
         return NotRun(reason=reason, retry_after_ms=message.retry_after_ms)
 
 
+def has_started(task: OpenTask) -> bool:
+    """Return whether a run of a task is known, also by its end alone."""
+    return bool(task.run or task.done or task.failures)
+
+
 def declared_task(task: OpenTask) -> messages.DeclaredTask:
     """Return a task in the form in which it is declared."""
     need = task.request.need
--- a/packages/guavaroad/src/guavaroad/domain/pool/orphans.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/orphans.py
@@ -13,6 +13,10 @@
 # before the client sends the job again, 1.3 s after its connection broke.
 ORPHAN_GRACE_S: Final = 0.4
 
+# Time for an owner to answer on a link that is open again, in seconds: a round
+# trip and a stall of its event loop.
+ANSWER_S: Final = 0.2
+
 
 class Orphans:
     """Gives up the jobs of owners whose link is not re-established.
@@ -21,6 +25,7 @@
         state: State of the allocator.
         runs: Tracks runs.
         deadlines: When the jobs of an owner whose link is lost are given up.
+        awaited: Owners whose link is open again, and that have not answered.
     """
 
     def __init__(
@@ -32,14 +37,27 @@
         self.state = state
         self.runs = runs
         self.deadlines: dict[values.InstanceName, float] = {}
+        self.awaited: set[values.InstanceName] = set()
+
+    def on_owner_linked(self, owner: values.InstanceName, now_s: float) -> bool:
+        """Keep the jobs of an owner for as long as it may take to answer.
+
+        That is granted once, until the owner has answered.
 
-    def on_owner_linked(self, owner: values.InstanceName) -> bool:
-        """Return whether the jobs of an owner are kept if it answers soon.
+        Args:
+            owner: Owner whose link is open again.
+            now_s: Current time, in seconds.
 
         Returns:
             Whether its link was lost and the jobs are still tracked.
         """
-        return owner in self.deadlines
+        deadline_s = self.deadlines.get(owner)
+        if deadline_s is None:
+            return False
+        if owner not in self.awaited:
+            self.awaited.add(owner)
+            self.deadlines[owner] = max(deadline_s, now_s + ANSWER_S)
+        return True
 
     def on_owner_heard(self, owner: values.InstanceName) -> None:
         """Keep the jobs of an owner that has sent a message on its link.
@@ -50,6 +68,7 @@
         self.state.contacts.on_heard(owner)
         self.state.contacts.lost.discard(owner)
         self.deadlines.pop(owner, None)
+        self.awaited.discard(owner)
 
     def on_owner_lost(
         self, owner: values.InstanceName, now_s: float, *, timed_out: bool
@@ -76,6 +95,7 @@
             if deadline_s > now_s:
                 continue
             self.deadlines.pop(owner)
+            self.awaited.discard(owner)
             lost = [
                 job for job in self.state.jobs.values() if job.owner == owner
             ]
--- a/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/active_allocator.py
@@ -212,7 +212,9 @@
         self.follow_requests.send(
             name,
             link,
-            has_declared_jobs=self.machine.orphans.on_owner_linked(name),
+            has_declared_jobs=self.machine.orphans.on_owner_linked(
+                name, self.dependencies.timers.now()
+            ),
         )
         link.send(self.heartbeats.heartbeat())
 
--- a/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
@@ -82,7 +82,7 @@
             self.finish(previous, open_jobs.OutcomeUnknown(reason='sent_again'))
         job = self.attempts.begin(request, on_outcome)
         job.unconfirmed = previous is not None
-        job.starts_known = previous is None
+        job.starts_known = previous is None and not job.may_have_run_before
         if self.link is not None:
             self.declare(job)
         timeout_ms = request.client_timeout_ms
@@ -120,18 +120,27 @@
     def check_declared(self, job: open_jobs.OpenJob) -> None:
         """Refuse a job that has no allocator and has certainly not started."""
         if not job.declared and job.is_unstarted():
-            self.finish(job, open_jobs.NotRun(reason='no_allocator'))
+            self.abandon(job, 'no_allocator')
 
     def withdraw(self, job: open_jobs.OpenJob) -> None:
         """Withdraw a job shortly before its client times out."""
         if job.declared and self.link is not None:
             self.link.send(job.withdrawal())
         elif job.is_unstarted():
-            self.finish(job, open_jobs.NotRun(reason='no_allocator'))
+            self.abandon(job, 'no_allocator')
 
     def expire(self, job: open_jobs.OpenJob) -> None:
         """Answer a job that has no outcome yet."""
-        self.finish(job, job.abandoned_outcome('no_word_in_time'))
+        self.abandon(job, 'no_word_in_time')
+
+    def abandon(self, job: open_jobs.OpenJob, reason: str) -> None:
+        """Answer a job without the word of an allocator.
+
+        One that still has it is told when it is linked again.
+        """
+        if job.was_declared:
+            self.attempts.abandoned.record(job.request.job_id, job.attempt)
+        self.finish(job, job.abandoned_outcome(reason))
 
     def on_client_gone(self, job: open_jobs.OpenJob) -> None:
         """Withdraw a job whose client has disconnected."""
