--- a/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
@@ -120,27 +120,18 @@
     def check_declared(self, job: open_jobs.OpenJob) -> None:
         """Refuse a job that has no allocator and has certainly not started."""
         if not job.declared and job.is_unstarted():
-            self.abandon(job, 'no_allocator')
+            abandon(self, job, 'no_allocator')
 
     def withdraw(self, job: open_jobs.OpenJob) -> None:
         """Withdraw a job shortly before its client times out."""
         if job.declared and self.link is not None:
             self.link.send(job.withdrawal())
         elif job.is_unstarted():
-            self.abandon(job, 'no_allocator')
+            abandon(self, job, 'no_allocator')
 
     def expire(self, job: open_jobs.OpenJob) -> None:
         """Answer a job that has no outcome yet."""
-        self.abandon(job, 'no_word_in_time')
-
-    def abandon(self, job: open_jobs.OpenJob, reason: str) -> None:
-        """Answer a job without the word of an allocator.
-
-        One that still has it is told when it is linked again.
-        """
-        if job.was_declared:
-            self.attempts.abandoned.record(job.request.job_id, job.attempt)
-        self.finish(job, job.abandoned_outcome(reason))
+        abandon(self, job, 'no_word_in_time')
 
     def on_client_gone(self, job: open_jobs.OpenJob) -> None:
         """Withdraw a job whose client has disconnected."""
@@ -250,3 +241,18 @@
             job, outcome, job.age_ms(self.timers.now())
         )
         job.on_outcome(outcome)
+
+
+def abandon(owner: JobOwner, job: open_jobs.OpenJob, reason: str) -> None:
+    """Answer a job without the word of an allocator.
+
+    An allocator that still has it is told when it is linked again.
+
+    Args:
+        owner: Owner of the job.
+        job: The job.
+        reason: Why its end is not awaited any longer.
+    """
+    if job.was_declared:
+        owner.attempts.abandoned.record(job.request.job_id, job.attempt)
+    owner.finish(job, job.abandoned_outcome(reason))
