Take the tightest fit of all speed classes while the workers are full

Change: while work waits because the workers are full, all classes are one order of free cores, as before run times were learned.

--- a/packages/guavaroad/src/guavaroad/domain/pool/placement.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement.py
@@ -7,8 +7,9 @@
 of a choice does not grow with their number.
 """
 
+import heapq
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Final
 
 import sortedcontainers
@@ -46,6 +47,7 @@
             thousandths of a core.
         free_cpu: Free thousandths of a core of all workers. A worker that has
             shrunk below what it runs counts as 0.
+        is_full: Whether work waits because the workers are full.
         usable_cores: Cores of the usable workers as last counted.
         cores_counted_s: Time of that count, in seconds.
     """
@@ -58,6 +60,7 @@
             values.WorkerId, tuple[placement_order.Group, int]
         ] = {}
         self.free_cpu = 0
+        self.is_full = False
         self.usable_cores = float(0)
         self.cores_counted_s = float('-inf')
 
@@ -134,26 +137,45 @@
         for _, groups in itertools.groupby(
             self.groups, key=placement_order.standing_of
         ):
-            bests = (
-                self.best_of(group, task, required, now_s) for group in groups
-            )
-            found = placement_order.in_time(self.run_times, task, bests, now_s)
+            found = self.find_in(tuple(groups), task, required, now_s)
             if found:
                 return found
         return None
 
+    def find_in(
+        self,
+        groups: Sequence[placement_order.Group],
+        task: work.Task,
+        required: attempt_policy.Requirement,
+        now_s: float,
+    ) -> worker.Worker | None:
+        """Return the worker for a task in groups of rising speed, or None.
+
+        While the workers are full, the tightest fit in all groups comes first:
+        every gap is needed, and a larger one left is worth more than speed.
+        """
+        if self.is_full:
+            return self.best_of(groups, task, required, now_s)
+        bests = (
+            self.best_of((group,), task, required, now_s) for group in groups
+        )
+        return placement_order.in_time(self.run_times, task, bests, now_s)
+
     def best_of(
         self,
-        group: placement_order.Group,
+        groups: Sequence[placement_order.Group],
         task: work.Task,
         required: attempt_policy.Requirement,
         now_s: float,
     ) -> worker.Worker | None:
-        """Return the worker of a group for a task, or None."""
-        fitting = (
-            self.workers[worker_id]
-            for _, worker_id in self.groups[group].irange((task.need.cpu, ''))
+        """Return the worker of some groups for a task, or None."""
+        tightest_first = heapq.merge(
+            *(
+                self.groups[group].irange((task.need.cpu, ''))
+                for group in groups
+            )
         )
+        fitting = (self.workers[worker_id] for _, worker_id in tightest_first)
         usable = (
             worker_state
             for worker_state in fitting
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
@@ -53,6 +53,7 @@
             cores=pool.capacity.cores(now_s),
             now_s=now_s,
         )
+        pool.capacity.is_full = pool.room.full_since_s is not None
 
     def place_heads(self, pool: pool_state.PoolState, now_s: float) -> None:
         """Place the first jobs in the order of service."""
