--- a/packages/guavaroad/src/guavaroad/services/pool/candidate.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/candidate.py
@@ -7,7 +7,6 @@
 
 from guavaroad.domain.pool import (
     election,
-    peer_messages,
     rival_claims,
     values,
 )
@@ -16,6 +15,7 @@
     allocator_follower,
     decision_log,
     directory,
+    election_poll,
     instance_links,
     store_calls,
 )
@@ -54,72 +54,6 @@
             self.answer.callback(result)
 
 
-class PollRound:
-    """Collects the answers to one election poll.
-
-    Attributes:
-        term: Term of the lost allocator.
-        links: Links to the other instances.
-        began_s: Time at which it began, in seconds.
-        answers: Answers by instance.
-        expected: Instances that may answer.
-        on_finished: Called once, when every expected instance has answered or
-            can't be reached, or after the timeout.
-    """
-
-    def __init__(
-        self,
-        *,
-        local_instance: peer_messages.Instance,
-        term: election.Term,
-        links: instance_links.InstanceLinks,
-        expected: frozenset[values.InstanceName],
-        on_finished: Callable[['PollRound'], object],
-    ) -> None:
-        self.local_instance = local_instance
-        self.term = term
-        self.links = links
-        self.began_s = links.timers.now()
-        self.expected = expected
-        self.on_finished = on_finished
-        self.is_finished = False
-        self.answers: dict[values.InstanceName, peer_messages.PollAnswer] = {}
-        links.on_link = self.send_poll
-        links.on_message = self.record_answer
-
-    def send_poll(
-        self, _: values.InstanceName, link: instance_links.LinkPort
-    ) -> None:
-        """Poll one instance."""
-        link.send(
-            peer_messages.Poll(
-                token=self.term.token, candidate=self.local_instance
-            )
-        )
-
-    def record_answer(self, name: values.InstanceName, message: Any) -> None:
-        """Record an answer; finish the round if it was the last one."""
-        is_answer = isinstance(message, peer_messages.PollAnswer)
-        if is_answer and name != self.local_instance.name:
-            self.answers[name] = message
-        if self.is_complete() or election.is_conclusive(
-            term=self.term,
-            others=len(self.links.directory.instances) - 1,
-            answers=self.answers.values(),
-        ):
-            self.finish()
-
-    def is_complete(self) -> bool:
-        """Return whether no further answer is expected."""
-        return not self.expected.difference(self.answers, self.links.failed)
-
-    def finish(self) -> None:
-        """Report the answers, unless they were reported already."""
-        if not self.is_finished:
-            self.is_finished = True
-            self.on_finished(self)
-
-
 class Candidate:
     """Runs for allocator: waits for its turn, polls, claims the token.
 
@@ -191,7 +125,7 @@
             timer_service=self.timers,
             instance_directory=self.directory,
         )
-        poll_round = PollRound(
+        poll_round = election_poll.PollRound(
             local_instance=self.directory.local_instance,
             term=self.follower.term,
             links=links,
@@ -207,11 +141,11 @@
         absent = {self.directory.local_instance.name, follower.term.allocator}
         return frozenset(self.directory.instances).difference(absent)
 
-    def on_poll_finished(self, poll_round: 'PollRound') -> None:
+    def on_poll_finished(self, poll_round: election_poll.PollRound) -> None:
         """Decide by the answers to a poll."""
         defer.ensureDeferred(self.conclude(poll_round))
 
-    async def conclude(self, poll_round: 'PollRound') -> None:
+    async def conclude(self, poll_round: election_poll.PollRound) -> None:
         """Take the token if it was claimed, or retry the election later."""
         try:
             elected = await self.decide(poll_round)
@@ -225,7 +159,9 @@
             return
         self.on_elected(elected, poll_round.links)
 
-    async def decide(self, poll_round: 'PollRound') -> election.Term | None:
+    async def decide(
+        self, poll_round: election_poll.PollRound
+    ) -> election.Term | None:
         """Claim the token, or back off; return the new term if it has one."""
         term = poll_round.term
         answers = tuple(poll_round.answers.values())
@@ -270,7 +206,7 @@
         return election.PollDecision.CLAIM
 
     async def claim(
-        self, poll_round: PollRound, highest: values.Token
+        self, poll_round: election_poll.PollRound, highest: values.Token
     ) -> election.Term | None:
         """Claim the token in the store, or use a reserved token.
 
@@ -291,7 +227,7 @@
         return await self.claim_row(term, row, highest)
 
     def is_rival_expected(
-        self, poll_round: PollRound, row: election.AllocatorRow
+        self, poll_round: election_poll.PollRound, row: election.AllocatorRow
     ) -> bool:
         """Return whether the instance that a row names may still connect."""
         own_name = self.directory.local_instance.name
