--- a/packages/guavaroad/src/guavaroad/domain/client_limits.py
+++ b/packages/guavaroad/src/guavaroad/domain/client_limits.py
@@ -1,6 +1,6 @@
 """Decisions about clients that send more, or more slowly, than is allowed.
 
-Answers crowds of such clients: heads, trailers and blank lines without end,
+Answers many such clients at once: heads, trailers and blank lines without end,
 bodies that stop short, unread answers, and connections that carry nothing.
 What all of them hold is bounded for the process, and so is the work for them
 in one turn of the event loop.  Nothing here reads a clock or a socket.
--- a/packages/guavaroad/src/guavaroad/domain/work_turns.py
+++ b/packages/guavaroad/src/guavaroad/domain/work_turns.py
@@ -1,6 +1,6 @@
 """Order of work for clients that send much, in turns of the event loop.
 
-Answers crowds whose bytes or pipelined requests take longer than an ordinary
+Answers many connections whose bytes or pipelined requests take longer than an ordinary
 request may wait.  Work is measured by what causes it, not by a clock: bytes,
 callbacks of the parser, requests.
 """
