--- a/packages/guavaroad/src/guavaroad/domain/work_turns.py
+++ b/packages/guavaroad/src/guavaroad/domain/work_turns.py
@@ -1,8 +1,8 @@
 """Order of work for clients that send much, in turns of the event loop.
 
-Answers many connections whose bytes or pipelined requests take longer than an ordinary
-request may wait.  Work is measured by what causes it, not by a clock: bytes,
-callbacks of the parser, requests.
+Answers many connections whose bytes or pipelined requests take longer than an
+ordinary request may wait.  Work is measured by what causes it, not by a clock:
+bytes, callbacks of the parser, requests.
 """
 
 import collections
