Log which build a process runs, and on which kind of machine

Nothing in a run showed which code it had run: an older target/ beside the checkout, or a build that was interrupted, could not be told from the code at hand.

deploy/build.sh now writes a digest of the sources as its last step and takes it away before it changes anything, so that an incomplete build has no name, and is made again. `started` has the digest as `build`, and `machine`.

Beside it: libraries that were installed for other pins, by a clock that is ahead, counted as up to date by their times alone. Their stamp has a digest of the pins now.

Tests: features/setup (six scenarios; "Carried-over libraries of another revision's pins are replaced" failed before, the others need the file that is new), and one of processes.

--- a/features/platform/processes.feature
+++ b/features/platform/processes.feature
@@ -71,3 +71,7 @@
     When a process starts while its metrics port is in use
     Then it serves within 10 s
     And its log says "metrics_unserved"
+
+  Scenario: A process logs which build it runs, and on which kind of machine
+    # Runs with other results than ours could not be told from runs of other code.
+    Then the first log line of each process names a build and a machine
--- a/features/setup/setup.feature
+++ b/features/setup/setup.feature
@@ -24,6 +24,30 @@
       | another Python                        | replaces |
       | a build that doesn't name its machine | replaces |
 
+  Scenario Outline: A process names the build that it was started from, <before>
+    # Two runs of a review case had other results, and no log showed which code
+    # they had run. An interrupted build must not look like a complete one.
+    Given a deployment whose sources are built, and that <before>
+    When the deployment is built with a pip that only records its calls
+    Then its packages are those of the sources
+    And the build is named by a digest of its sources
+
+    Examples:
+      | before                                  |
+      | has not changed                         |
+      | has another revision of the sources now |
+      | was interrupted while it was built      |
+      | has packages that were edited           |
+
+  Scenario: An incomplete build has no name
+    Given a deployment whose sources are built, and that was interrupted while it was built
+    Then the build is unknown
+
+  Scenario: Carried-over libraries of another revision's pins are replaced
+    Given deployed libraries that were built for other pins, by a later clock
+    When the deployment is built with a pip that only records its calls
+    Then the build replaces the libraries
+
   Scenario: The packages are built without isolation, third-party sources with it
     Given an environment that is complete for another machine
     When make is asked how it sets up
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,5 +1,6 @@
 """Steps about processes of the platform program."""
 
+import os
 import signal
 import socket
 import time
@@ -354,3 +355,12 @@
     left_s = call.getTime() - time.clock_gettime(time.CLOCK_BOOTTIME)
     call.cancel()
     assert 4 < left_s <= 5, left_s
+
+
+@behave.then('the first log line of each process names a build and a machine')
+def then_build(context):
+    for process in context.fleet.processes:
+        first = process.log_events()[0]
+        assert first['event'] == 'started', first
+        assert first['build'], first
+        assert first['machine'] == os.uname().machine, first
--- a/features/steps/setup_steps.py
+++ b/features/steps/setup_steps.py
@@ -13,6 +13,8 @@
 
 from behave import given, then, when
 
+from guavaroad.adapters import build_identity
+
 ROOT: Final = pathlib.Path(__file__).resolve().parents[2]
 FUTURE_S: Final = 3600
 RECORDING_PYTHON: Final = """#!/bin/sh
@@ -106,10 +108,62 @@
     context.deployment = folder
 
 
+@given('deployed libraries that were built for other pins, by a later clock')
+def plant_other_pins(context):
+    plant_deployment(context, 'this machine and Python')
+    stamp = next(context.deployment.glob('target/.libraries*'))
+    stamp.write_text('0123456789ab\n')
+    plant(stamp)
+
+
+@given('a deployment whose sources are built, and that {before}')
+def plant_built(context, before):
+    plant_deployment(context, 'this machine and Python')
+    folder = context.deployment
+    source = folder / 'packages/guavaroad/src/guavaroad/part.py'
+    source.write_text('REVISION = 1\n')
+    build_deployment(context)
+    context.build_before = build_identity.read(folder / 'target/deps')
+    built = folder / 'target/deps/guavaroad/part.py'
+    match before:
+        case 'has another revision of the sources now':
+            source.write_text('REVISION = 2\n')
+        case 'was interrupted while it was built':
+            built.unlink()
+            folder.joinpath('target/deps', build_identity.FILE_NAME).unlink()
+        case 'has packages that were edited':
+            built.write_text('REVISION = 3\n')
+        case _:
+            assert before == 'has not changed', before
+
+
+@then('its packages are those of the sources')
+def check_packages(context):
+    folder = context.deployment
+    source = folder / 'packages/guavaroad/src/guavaroad/part.py'
+    built = folder / 'target/deps/guavaroad/part.py'
+    assert built.read_text() == source.read_text()
+
+
+@then('the build is named by a digest of its sources')
+def check_build_name(context):
+    source = 'packages/guavaroad/src/guavaroad/part.py'
+    is_same = context.deployment.joinpath(source).read_text().endswith('1\n')
+    named = build_identity.read(context.deployment / 'target/deps')
+    assert named != build_identity.UNKNOWN
+    assert (named == context.build_before) == is_same, named
+
+
+@then('the build is unknown')
+def check_build_unknown(context):
+    named = build_identity.read(context.deployment / 'target/deps')
+    assert named == build_identity.UNKNOWN, named
+
+
 @when('the deployment is built with a pip that only records its calls')
 def build_deployment(context):
     tools = context.deployment / 'tools'
-    tools.mkdir()
+    tools.mkdir(exist_ok=True)
     context.calls = tools / 'calls'
     context.calls.touch()
     python = tools / 'python3'
