Count contacts with owners from the heartbeat that they answer

Cause: leases end 1.1 s after the last message of the owner, and a message counted as sent when it arrived, less one tick. Its owner may have declared its jobs to another allocator in between.

Heartbeats carry the time at which they were sent, answers return it, and only that counts. The owner still followed this allocator then, so that its declaration to the next one is later, whatever the delay. No time in transit is assumed any more. On a new link the request to follow counts until the first heartbeat is answered. Instances of older builds count as before.

Four examples of the scenario about quiet links have other times, as strict: not due at 140 ms, due at 160 ms, and quiet links at 100 ms. A start now looks at the owner's last contact at its own time, not at the last tick. `owner_silent` is logged.

Tests: features/pool/lost_owners.feature. "Runs are not started again beside a lease that a delayed message has extended" (both) and "The first messages of an owner count as sent when it was asked to follow" failed before; the two about answers could not run, as their field is new.

--- a/features/pool/agent_decisions.feature
+++ b/features/pool/agent_decisions.feature
@@ -51,10 +51,10 @@
 
     Examples:
       | sent | received | beat | due     |
-      | 10   | 10       | 200  | not due |
-      | 90   | 10       | 200  | due     |
-      | 10   | 90       | 200  | due     |
-      | 10   | 10       | 410  | due     |
+      | 10   | 10       | 140  | not due |
+      | 90   | 10       | 100  | due     |
+      | 10   | 90       | 100  | due     |
+      | 10   | 10       | 160  | due     |
 
   Scenario: A process that was paused reads before it judges its peers
     When checks run each 50 ms, but one is 3 s late
--- a/features/pool/lost_owners.feature
+++ b/features/pool/lost_owners.feature
@@ -54,6 +54,42 @@
     Then a job of the other owner is not started
     And the cores of the worker still count for admission
 
+  Scenario Outline: Runs are not started again beside a lease that a delayed message has extended, <calls>
+    # Messages that wait on a full link arrive after their owner has declared its
+    # jobs to another allocator. They counted as sent when they arrived. TWICE.
+    Given a pool of 6 instances in zones "a b" with 12 workers and links of <links> kB/s
+    When 2 s pass in the pool
+    And 8 jobs of 1 task of 4000 ms are submitted outside the allocator's zone
+    And 0.5 s pass in the pool
+    And messages to the allocator wait, its zone is cut off 0.05 s later with late stops, and links are reset
+    And the messages arrive 0.25 s later
+    And 3 s pass in the pool
+    Then tasks were started again
+    And no invariant is violated
+
+    Examples:
+      | calls  | links |
+      | direct | 1500  |
+      | agents | 100   |
+
+  Scenario: The answer to a heartbeat counts as sent when the heartbeat was
+    Given an allocator with runs of two owners on one worker
+    When each owner answers a heartbeat, and one answer is delayed by 0.4 s
+    Then the lease of the worker ends at most 1.1 s after that heartbeat
+    When other messages of that owner arrive for 0.3 s
+    Then the lease of the worker can't be extended
+
+  Scenario: Messages count as sent when they arrive from an owner that does not say what it answers
+    Given an allocator with runs of two owners on one worker
+    When each owner answers a heartbeat without saying which
+    And other messages of that owner arrive for 0.7 s
+    Then the lease of the worker can be extended
+
+  Scenario: The first messages of an owner count as sent when it was asked to follow
+    Given an allocator with runs of two owners on one worker
+    When one of the owners is linked again, and its first messages arrive for 0.7 s
+    Then the lease of the worker can't be extended
+
   Scenario: A message that has waited in a pause does not count as sent after it
     Given an allocator with runs of two owners on one worker
     When the allocator is paused for 2 s, and then reads a message of each owner
--- a/features/steps/lost_owner_steps.py
+++ b/features/steps/lost_owner_steps.py
@@ -4,7 +4,9 @@
 
 import behave
 
+from guavaroad.domain import units
 from guavaroad.domain.pool import messages, outcomes, values
+from guavaroad_standins import pool_cluster
 from support import allocator_scenes
 
 # After a start was ordered, and before the message to its owner arrives.
@@ -16,6 +18,8 @@
 STEADY_S = 0.1
 # Interval between two links to an instance.
 REDIAL_S = 0.25
+# Delay of a stop that is carried out late, in seconds.
+LATE_STOP_S = 3
 
 
 @behave.when(
@@ -77,7 +81,7 @@
         if pool.history.starts:
             break
         pool.clock.advance(ORDERED_S)
-    cut_with_late_stops(context, 3)
+    cut_with_late_stops(context, LATE_STOP_S)
 
 
 @behave.then('tasks were started again')
@@ -139,6 +143,9 @@
     run_heard(context, seconds, (KEPT,))
 
 
+@behave.then(
+    'the lease of the worker ends at most {seconds:g} s after that heartbeat'
+)
 @behave.then(
     'the lease of the worker ends at most {seconds:g} s after that owner was heard'
 )
@@ -192,6 +199,85 @@
         scene.machine.orphans.on_owner_heard(owner)
 
 
+@behave.when(
+    'messages to the allocator wait, its zone is cut off {cut_s:g} s later with late stops, and links are reset'
+)
+def when_messages_wait(context, cut_s):
+    pool = context.pool
+    pool.network.hold(pool.allocator().name)
+    context.execute_steps(f'When {cut_s} s pass in the pool')
+    cut_with_late_stops(context, LATE_STOP_S)
+    reset_outside(pool, context.names[0])
+
+
+def reset_outside(pool, name):
+    """Report the loss of an instance's links to the instances of other zones."""
+    for link in pool.network.links:
+        other = link.other
+        if link.owner != name or not link.is_open or other is None:
+            continue
+        if pool.zone_of(other.owner) != pool.zone_of(name):
+            pool.clock.callLater(pool_cluster.LINK_LATENCY_S, other.lost)
+
+
+@behave.when('the messages arrive {seconds:g} s later')
+def when_messages_arrive(context, seconds):
+    context.pool.run(seconds)
+    context.pool.network.release(context.names[0])
+
+
+@behave.when(
+    'each owner answers a heartbeat, and one answer is delayed by {seconds:g} s'
+)
+def when_answer_delayed(context, seconds):
+    scene = context.scene
+    context.heard_s = scene.now_s
+    run_answering(context, seconds, (KEPT,))
+    answer_beat(scene, LOST, context.heard_s)
+    run_answering(context, STEADY_S, (KEPT,))
+
+
+@behave.when('each owner answers a heartbeat without saying which')
+def when_answered_plainly(context):
+    for owner in context.owners:
+        context.scene.machine.orphans.on_owner_beat(owner, -1)
+
+
+@behave.when('other messages of that owner arrive for {seconds:g} s')
+def when_other_messages(context, seconds):
+    context.scene.machine.orphans.on_owner_heard(LOST)
+    run_heard(context, seconds, context.owners)
+
+
+@behave.when(
+    'one of the owners is linked again, and its first messages arrive for {seconds:g} s'
+)
+def when_linked_again(context, seconds):
+    scene = context.scene
+    scene.machine.orphans.on_owner_lost(LOST, scene.now_s, timed_out=False)
+    scene.machine.orphans.on_owner_linked(LOST, scene.now_s)
+    run_heard(context, seconds, context.owners)
+
+
+def run_answering(context, seconds, owners):
+    """Let time pass; some owners answer a heartbeat before each tick."""
+    scene = context.scene
+    for _ in range(int(seconds / allocator_scenes.TICK_S + 0.5)):
+        for owner in owners:
+            answer_beat(scene, owner, scene.now_s)
+        run_heard(context, allocator_scenes.TICK_S, ())
+
+
+def answer_beat(scene, owner, sent_s):
+    scene.machine.orphans.on_owner_beat(owner, int(sent_s * units.MS_PER_S))
+
+
+@behave.then('the lease of the worker can be extended')
+def then_extended(context):
+    scene = context.scene
+    assert scene.worker(0).may_extend_lease(scene.now_s)
+
+
 @behave.then("the lease of the worker can't be extended")
 def then_not_extended(context):
     scene = context.scene
--- a/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/allocator.py
@@ -88,7 +88,7 @@
 
     def tick(self, now_s: float) -> None:
         """Make the decisions that depend on time alone."""
-        self.state.contacts.tick(now_s)
+        self.check_owners(now_s)
         self.runs.follow_stops(now_s)
         self.runs.refused_starts.queue_due(now_s)
         self.orphans.drop_expired(now_s)
@@ -102,6 +102,16 @@
         self.takeover.clean_up(now_s)
         self.log_groups(now_s)
 
+    def check_owners(self, now_s: float) -> None:
+        """Update which owners are silent, and log those that have become so."""
+        contacts = self.state.contacts
+        for owner in contacts.tick(now_s):
+            self.state.log_event(
+                'owner_silent',
+                owner=owner,
+                silent_ms=units.to_ms(now_s - contacts.contact_s[owner]),
+            )
+
     def log_groups(self, now_s: float) -> None:
         """Log the groups of the workers of pools that have several."""
         if now_s - self.groups_logged_s < LOG_GROUPS_S:
--- a/packages/guavaroad/src/guavaroad/domain/pool/beat_schedule.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/beat_schedule.py
@@ -9,9 +9,10 @@
 
 from guavaroad.domain.pool import election
 
-# Longest interval between two heartbeats, in seconds: they also carry the
-# version of the configuration and the age of the worker list.
-MAX_INTERVAL_S: Final = 0.4
+# Time after a heartbeat from which on the next check sends another one, in
+# seconds. Leases end a fixed time after the last heartbeat that the owner of a
+# run has answered, so that few of them would be cut short.
+MAX_INTERVAL_S: Final = 0.15
 # Part of the heartbeat period after which a link counts as quiet. It is checked
 # once a period, so no link is quiet for two periods.
 QUIET_SHARE: Final = 0.5
--- a/packages/guavaroad/src/guavaroad/domain/pool/leases.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/leases.py
@@ -1,6 +1,6 @@
 """The lease of all runs on one worker, on the worker's clock.
 
-No order extends it beyond `INHERITED_LEASE_S` after the last message of the
+No order extends it beyond `INHERITED_LEASE_S` after the last contact with the
 owner of any run that the worker may have (`owner_contacts.py`).
 """
 
@@ -13,9 +13,9 @@
 LEASE_MS: Final = 900
 # A worker's clock may run up to 2 % slow, by the platform's documentation.
 CLOCK_DRIFT_FACTOR: Final = 1.02
-# Time after its owner was last heard from for which an allocator may let a run
-# go on, in seconds. The next allocator of the owner counts it from the owner's
-# declaration.
+# Time after the last contact with its owner for which an allocator may let a
+# run go on, in seconds. The next allocator of the owner counts it from the
+# owner's declaration.
 INHERITED_LEASE_S: Final = 1.1
 # Shortest extension, in seconds: that for a poll that waits at the worker.
 MIN_EXTENSION_S: Final = LEASE_MS / units.MS_PER_S / 2
--- a/packages/guavaroad/src/guavaroad/domain/pool/orphans.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/orphans.py
@@ -51,6 +51,7 @@
         Returns:
             Whether its link was lost and the jobs are still tracked.
         """
+        self.state.contacts.on_linked(owner, now_s)
         deadline_s = self.deadlines.get(owner)
         if deadline_s is None:
             return False
@@ -66,6 +67,21 @@
         so no other allocator has its jobs.
         """
         self.state.contacts.on_heard(owner)
+        self.keep_jobs(owner)
+
+    def on_owner_beat(self, owner: values.InstanceName, sent_ms: int) -> None:
+        """Keep the jobs of an owner that has answered a heartbeat.
+
+        Args:
+            owner: The owner.
+            sent_ms: When the heartbeat was sent, in milliseconds; negative if
+                the owner does not say.
+        """
+        self.state.contacts.on_beat(owner, sent_ms)
+        self.keep_jobs(owner)
+
+    def keep_jobs(self, owner: values.InstanceName) -> None:
+        """Forget that the link of an owner was lost."""
         self.state.contacts.lost.discard(owner)
         self.deadlines.pop(owner, None)
         self.awaited.discard(owner)
--- a/packages/guavaroad/src/guavaroad/domain/pool/peer_messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/peer_messages.py
@@ -73,24 +73,30 @@
             none.
         list_age_ms: Age of its list of workers, in milliseconds.
         evacuated: Evacuated availability zones.
+        sent_ms: When it was sent, on the allocator's clock, in milliseconds;
+            negative if sent by an older build.
     """
 
     config_version: int
     list_age_ms: int
     evacuated: evacuations.Evacuations = evacuations.NO_EVACUATIONS
+    sent_ms: int = -1
 
 
 class OwnerBeat(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Heartbeat of an owner.
+    """Answer of an owner to a heartbeat.
 
     Attributes:
         config_version: Configuration version that it serves; negative for
             none.
         evacuated: Evacuated availability zones.
+        answered_ms: `sent_ms` of the heartbeat; negative if sent by an older
+            build.
     """
 
     config_version: int
     evacuated: evacuations.Evacuations = evacuations.NO_EVACUATIONS
+    answered_ms: int = -1
 
 
 class FollowerState(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/placement_scheduler.py
@@ -64,7 +64,7 @@
             key=lambda level: pool.room.rank(level, cores),
         )
         for job in pool.backlog.heads(now_s, levels):
-            if self.state.contacts.is_away(job.owner):
+            if self.state.contacts.is_away(job.owner, now_s):
                 continue
             if not self.place_job(pool, job, now_s):
                 # One that waits for a better worker leaves room for others.
@@ -82,7 +82,9 @@
             return
         gap_cpu = free_room.largest_gap_cpu(pool.capacity, now_s)
         for job in pool.backlog.fitting(gap_cpu):
-            if self.state.contacts.is_away(job.owner) or not job.waiting:
+            if not job.waiting:
+                continue
+            if self.state.contacts.is_away(job.owner, now_s):
                 continue
             reserved_cores = pool.reserve.cores_for(job.urgency)
             if free_room.fits_now(
--- a/packages/guavaroad/src/guavaroad/services/pool/allocator_inbox.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/allocator_inbox.py
@@ -59,8 +59,7 @@
 
     def receive(self, name: values.InstanceName, message: Any) -> None:
         """Process a message of an instance."""
-        if not isinstance(message, peer_messages.Superseded):
-            self.machine.orphans.on_owner_heard(name)
+        self.record_contact(name, message)
         match message:
             case messages.Declare() | messages.Withdraw():
                 self.receive_about_job(name, message)
@@ -82,6 +81,16 @@
             case _:
                 self.receive_state(name, message)
 
+    def record_contact(self, name: values.InstanceName, message: Any) -> None:
+        """Record that an instance follows this allocator, if it does."""
+        match message:
+            case peer_messages.Superseded():
+                pass
+            case peer_messages.OwnerBeat():
+                self.machine.orphans.on_owner_beat(name, message.answered_ms)
+            case _:
+                self.machine.orphans.on_owner_heard(name)
+
     def receive_about_job(
         self,
         owner: values.InstanceName,
--- a/packages/guavaroad/src/guavaroad/services/pool/heartbeat_responder.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/heartbeat_responder.py
@@ -67,7 +67,9 @@
         evacuated.receive(beat.evacuated, term.allocator)
         link.send(
             peer_messages.OwnerBeat(
-                config_version=newest, evacuated=evacuated.current
+                config_version=newest,
+                evacuated=evacuated.current,
+                answered_ms=beat.sent_ms,
             )
         )
         served = beat.config_version
--- a/packages/guavaroad/src/guavaroad/services/pool/heartbeat_sender.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/heartbeat_sender.py
@@ -65,11 +65,12 @@
 
     def heartbeat(self) -> peer_messages.AllocatorBeat:
         """Return a heartbeat message."""
-        age_s = self.calls.timers.now() - self.store_reader.updated_s
+        now_s = self.calls.timers.now()
         return peer_messages.AllocatorBeat(
             config_version=self.configuration.version(),
-            list_age_ms=units.to_ms(age_s),
+            list_age_ms=units.to_ms(now_s - self.store_reader.updated_s),
             evacuated=self.configuration.evacuations.current,
+            sent_ms=units.to_ms(now_s),
         )
 
     def check(self) -> None:
