Wait for runs that an allocator has started after their owner had left

Cause: the limit of 1.1 s after the last contact with an owner is applied when a lease is extended, not when a run is put under a lease that is there.

No task of an owner without a contact for 0.65 s is started, and an order adds 0.92 s to a lease at the most, so such a run is over 1.57 s after the last contact. Owners declare their jobs with its age, and unconfirmed tasks wait until then, 1.1 s at least, unless every worker was read. Starts that the owner knows were ordered before it left: for these 1.1 s is enough.

After a silence of 0.45 s nothing changes; after a reset unconfirmed tasks wait for up to 0.4 s longer while a worker is silent.

Tests: "A run that was started after its owner had left is not started again beside it" failed in its four examples before. The steps of unconfirmed.feature declare jobs with the age of a contact of 0.6 s, as of an allocator that has fallen silent, and keep their bounds; a new scenario has the bounds by age.

--- a/features/pool/lost_owners.feature
+++ b/features/pool/lost_owners.feature
@@ -17,6 +17,26 @@
       | direct | 1500  |
       | agents | 100   |
 
+  Scenario Outline: A run that was started after its owner had left is not started again beside it, <ends_ms> ms
+    # The lease of the worker had been extended just before that start, and ended
+    # up to 0.25 s after the time that the other side waited for. TWICE.
+    Given a pool of 6 instances in zones "a b" with 6 workers
+    When 2 s pass in the pool
+    And jobs fill the workers from the allocator's zone, and half of them end after <ends_ms> ms
+    And 6 jobs of 1 task of 3000 ms are submitted outside the allocator's zone
+    And <wait_s> s pass in the pool
+    And stops in the allocator's zone are carried out 3 s late, it is cut off, and links are reset
+    And 3 s pass in the pool
+    Then tasks were started after the cut, and again beyond it
+    And no invariant is violated
+
+    Examples:
+      | ends_ms | wait_s |
+      | 650     | 0.05   |
+      | 680     | 0.09   |
+      | 700     | 0.09   |
+      | 720     | 0.09   |
+
   Scenario: Starts of which the owner was not told are not repeated while they may run
     # Tasks of jobs that were declared again waited for 0.5 s, by when the allocator
     # beyond the cut had sent the stops.
--- a/features/pool/unconfirmed.feature
+++ b/features/pool/unconfirmed.feature
@@ -155,3 +155,22 @@
     When worker 0 is silent for 0.1 s
     And worker 0 reports no run
     Then run 1 of the task is started
+
+  Scenario Outline: A task waits longer the shorter ago its owner was in contact with another allocator
+    # That allocator may have started it up to 0.65 s after that contact, on a worker
+    # whose lease it had just extended by 0.9 s. An age of 0 s is unknown.
+    Given an allocator with 2 workers and an unconfirmed job of 1 task, <age_s> s after the last contact
+    When worker 0 reports no run
+    And worker 1 is silent for <before_s> s
+    And worker 0 reports no run
+    Then the task is not started
+    When worker 0 is silent for 0.1 s
+    And worker 0 reports no run
+    Then run 1 of the task is started
+
+    Examples:
+      | age_s | before_s |
+      | 0     | 1.52     |
+      | 0.2   | 1.32     |
+      | 0.6   | 1.05     |
+      | 5     | 1.05     |
--- a/features/steps/lost_owner_steps.py
+++ b/features/steps/lost_owner_steps.py
@@ -1,6 +1,8 @@
 """Steps for runs whose owner the allocator has lost."""
 
+import collections
 import functools
+import itertools
 
 import behave
 
@@ -18,6 +20,11 @@
 STEADY_S = 0.1
 # Interval between two links to an instance.
 REDIAL_S = 0.25
+# Run time of the jobs that outlast a cut.
+LONG_WORK_MS = 6000
+# Time in which the workers are half full, and then full, in seconds.
+FILL_S = 0.05
+FILLED_S = 0.2
 # Delay of a stop that is carried out late, in seconds.
 LATE_STOP_S = 3
 
@@ -220,6 +227,38 @@
             pool.clock.callLater(pool_cluster.LINK_LATENCY_S, other.lost)
 
 
+@behave.when(
+    "jobs fill the workers from the allocator's zone, and half of them end after {ms:d} ms"
+)
+def when_filled(context, ms):
+    pool = context.pool
+    zone = pool.allocator().zone
+    inside = [
+        name
+        for name, instance in pool.instances.items()
+        if instance.zone == zone
+    ]
+    for work_ms, seconds in ((LONG_WORK_MS, FILL_S), (ms, FILLED_S)):
+        for _, name in zip(pool.workers, itertools.cycle(inside), strict=False):
+            pool.submit(name, tasks=1, work_ms=work_ms)
+        pool.run(seconds)
+
+
+@behave.when(
+    "stops in the allocator's zone are carried out {seconds:g} s late, it is cut off, and links are reset"
+)
+def when_late_stops_and_resets(context, seconds):
+    cut_with_late_stops(context, seconds)
+    reset_outside(context.pool, context.names[0])
+
+
+@behave.then('tasks were started after the cut, and again beyond it')
+def then_started_beyond(context):
+    starts = context.pool.history.starts[context.starts_before :]
+    counts = collections.Counter(task for task, _, _ in starts)
+    assert max(counts.values()) > 1, counts
+
+
 @behave.when('the messages arrive {seconds:g} s later')
 def when_messages_arrive(context, seconds):
     context.pool.run(seconds)
--- a/features/steps/unconfirmed_steps.py
+++ b/features/steps/unconfirmed_steps.py
@@ -23,6 +23,9 @@
 # Less than the period of the allocator's ticks.
 REPORT_INTERVAL_S = 0.005
 SET_BACK_MS = 5000
+# Time from the last contact of an owner until it counts an allocator as lost
+# that is silent, and follows the next one.
+SILENCE_S = 0.6
 
 
 @behave.given(
@@ -32,6 +35,21 @@
     declare(context, workers, messages.DeclaredTask(name=TASK, cpu=1000))
 
 
+@behave.given(
+    'an allocator with {workers:d} workers and an unconfirmed job of 1 task, {seconds:g} s after the last contact'
+)
+def given_unconfirmed_after(context, workers, seconds):
+    take_over(context, workers)
+    declare_from(
+        context,
+        OWNER,
+        messages.DeclaredTask(name=TASK, cpu=1000),
+        unconfirmed=True,
+        redeclared=True,
+        contact_age_s=seconds,
+    )
+
+
 @behave.given(
     'an allocator with {workers:d} workers and an unconfirmed job with a known run on worker {number:d}'
 )
@@ -82,7 +100,14 @@
 
 
 def declare_from(
-    context, owner, task, *, unconfirmed, redeclared=False, age_s=0
+    context,
+    owner,
+    task,
+    *,
+    unconfirmed,
+    redeclared=False,
+    age_s=0,
+    contact_age_s=SILENCE_S,
 ):
     context.machine.job_admission.declare(
         values.InstanceName(owner),
@@ -99,6 +124,7 @@
             tasks=(task,),
             unconfirmed=unconfirmed,
             redeclared=redeclared,
+            contact_age_ms=int(contact_age_s * 1000),
         ),
         context.now_s,
     )
--- a/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/job_admission.py
@@ -1,16 +1,14 @@
 """Admission, change of owner and withdrawal of jobs."""
 
-from typing import Final
-
 from guavaroad.domain.pool import (
     allocator_state,
     declared_jobs,
     earlier_declarations,
-    leases,
     load_shedding,
     messages,
     outcomes,
     owner_changes,
+    owner_contacts,
     run_tracker,
     values,
     work,
@@ -18,12 +16,6 @@
     worker_reports,
 )
 
-# Another allocator may have started tasks just before it lost its link to the
-# owner, without the owner's knowledge. Tasks of such jobs wait for the end of
-# their lease, counted from their declaration, unless every worker has sent a
-# run report.
-UNCONFIRMED_S: Final = leases.INHERITED_LEASE_S
-
 
 class JobAdmission:
     """Admits jobs that owners declare and closes jobs that they withdraw.
@@ -80,7 +72,9 @@
         if self.shedder.refuse_if_overloaded(job, now_s):
             return
         if declared.may_hide_starts():
-            job.unconfirmed_until_s = now_s + UNCONFIRMED_S
+            job.unconfirmed_until_s = owner_contacts.hidden_until_s(
+                declared.contact_age_ms, now_s
+            )
         self.state.jobs[job.job_id] = job
         for task, declared_task in zip(job.tasks, declared.tasks, strict=True):
             self.state.tasks[task.name] = task
@@ -116,7 +110,9 @@
         """
         may_hide_starts = declared.may_hide_starts()
         if may_hide_starts:
-            job.unconfirmed_until_s = now_s + UNCONFIRMED_S
+            job.unconfirmed_until_s = owner_contacts.hidden_until_s(
+                declared.contact_age_ms, now_s
+            )
         for task, declared_task in zip(job.tasks, declared.tasks, strict=False):
             if declared_task.run < task.next_run and not may_hide_starts:
                 continue
--- a/packages/guavaroad/src/guavaroad/domain/pool/leases.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/leases.py
@@ -17,6 +17,8 @@
 # run go on, in seconds. The next allocator of the owner counts it from the
 # owner's declaration.
 INHERITED_LEASE_S: Final = 1.1
+# Longest time that an order may add to a lease, in seconds.
+LONGEST_S: Final = LEASE_MS / units.MS_PER_S * CLOCK_DRIFT_FACTOR
 # Shortest extension, in seconds: that for a poll that waits at the worker.
 MIN_EXTENSION_S: Final = LEASE_MS / units.MS_PER_S / 2
 # End of a lease without a limit.
--- a/packages/guavaroad/src/guavaroad/domain/pool/messages.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/messages.py
@@ -68,6 +68,8 @@
         attempt: Attempt that is declared; 0 if sent by an older build.
         starts_known: Whether the tasks show every start of this attempt that
             may have been sent, also by other allocators.
+        contact_age_ms: Time since the owner last followed another allocator or
+            answered a heartbeat of it, in milliseconds; 0 if unknown.
     """
 
     job: values.JobId
@@ -86,6 +88,7 @@
     owner_has_payload: bool = False
     attempt: values.AttemptNumber = values.ANY_ATTEMPT
     starts_known: bool = False
+    contact_age_ms: int = 0
 
     def may_hide_starts(self) -> bool:
         """Return whether starts may have been sent that it does not show."""
--- a/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/open_jobs.py
@@ -203,13 +203,15 @@
         self.history.append(f'{event} {detail} at {age_ms} ms')
 
     def declaration(
-        self, now_s: float, *, with_payload: bool
+        self, now_s: float, *, with_payload: bool, contact_age_ms: int
     ) -> messages.Declare:
         """Return the message that declares the job to the allocator.
 
         Args:
             now_s: Current time, in seconds.
             with_payload: Whether the allocator sends the start orders.
+            contact_age_ms: Time since the last contact with another allocator,
+                in milliseconds; 0 if unknown.
         """
         request = self.request
         self.starts_known = self.starts_known and not with_payload
@@ -230,6 +232,7 @@
             owner_has_payload=not with_payload,
             attempt=self.attempt,
             starts_known=self.starts_known,
+            contact_age_ms=contact_age_ms,
         )
 
     def withdrawal(self) -> messages.Withdraw:
--- a/packages/guavaroad/src/guavaroad/domain/pool/owner_contacts.py
+++ b/packages/guavaroad/src/guavaroad/domain/pool/owner_contacts.py
@@ -16,6 +16,10 @@
 # run of it is extended, and no task of it is started, in seconds: what is left
 # is too short for a poll that waits half a lease.
 MAX_SILENCE_S: Final = leases.INHERITED_LEASE_S - leases.MIN_EXTENSION_S
+# Time after its last contact with an allocator at which every run that this
+# allocator may have started without its knowledge is over, in seconds. The
+# lease of the worker may have been extended just before that start.
+HIDDEN_RUN_S: Final = MAX_SILENCE_S + leases.LONGEST_S
 # Time after which an owner is forgotten, in seconds. Its runs have lapsed long
 # before.
 FORGET_S: Final = 10
@@ -129,3 +133,18 @@
             default=leases.UNLIMITED_S,
         )
         return oldest_s + leases.INHERITED_LEASE_S
+
+
+def hidden_until_s(contact_age_ms: int, now_s: float) -> float:
+    """Return when runs that an owner does not know of are over.
+
+    The previous allocator of the owner counts from a contact that is not later
+    than the last one that the owner knows of.
+
+    Args:
+        contact_age_ms: Time since the last contact of the owner with an
+            allocator when it declared its job, in milliseconds; 0 if unknown.
+        now_s: Time of the declaration, in seconds.
+    """
+    left_s = HIDDEN_RUN_S - contact_age_ms / units.MS_PER_S
+    return now_s + max(left_s, leases.INHERITED_LEASE_S)
--- a/packages/guavaroad/src/guavaroad/services/pool/allocator_follower.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/allocator_follower.py
@@ -158,6 +158,7 @@
         match message:
             case peer_messages.AllocatorBeat():
                 self.heartbeat_responder.respond(link, message, self.term)
+                self.job_owner.contact.on_beat(message)
             case peer_messages.Reserved():
                 self.term = dataclasses.replace(
                     self.term, successors=message.successors
--- a/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
+++ b/packages/guavaroad/src/guavaroad/services/pool/job_owner.py
@@ -14,7 +14,11 @@
     values,
 )
 from guavaroad.ports import timers
-from guavaroad.services.pool import decision_log, open_attempts
+from guavaroad.services.pool import (
+    allocator_contact,
+    decision_log,
+    open_attempts,
+)
 
 # A job is withdrawn this long before its client times out, in milliseconds:
 # the allocator's answer that nothing has started must come back in time.
@@ -43,6 +47,7 @@
         token: Token of the allocator that was last linked.
         launches: Whether this instance sends the start orders of its jobs, as
             the allocator asks for.
+        contact: When this instance was last in contact with an allocator.
     """
 
     def __init__(
@@ -60,6 +65,9 @@
         self.jobs = self.attempts.jobs
         self.link: Sender | None = None
         self.token = values.Token(0)
+        self.contact = allocator_contact.AllocatorContact(
+            timer_service=timer_service
+        )
 
     def submit(
         self,
@@ -111,7 +119,9 @@
         if self.link is not None:
             self.link.send(
                 job.declaration(
-                    self.timers.now(), with_payload=not self.launches
+                    self.timers.now(),
+                    with_payload=not self.launches,
+                    contact_age_ms=self.contact.age_ms(),
                 )
             )
             job.declared = True
@@ -172,6 +182,8 @@
         # Their withdrawals may be lost with the previous link or allocator.
         for withdrawal in self.attempts.repeated_withdrawals():
             link.send(withdrawal)
+        # The jobs were declared with the age of the contact before.
+        self.contact.on_followed()
 
     def on_allocator_lost(self) -> None:
         """Mark every job as not declared."""
