Take a client's connection that was stalled for good as disrupted

The proxy stalls open connections for good, and clients use one of them again after the fault has ended. The check asked whether a fault was active while the request waited.

Observations have the time at which the connection was opened, and a stall of open connections counts for those that were open before its end. All other waits count as before: new connections, and old ones after other faults. The check is as strict there; five made-up observations show both sides (checks.feature).

--- a/features/soak/checks.feature
+++ b/features/soak/checks.feature
@@ -36,3 +36,18 @@
     Given a client of a queue got status 503 with the body {"Reason":"no configuration"}
     When the same process answers 404 3 s later
     Then the check reports "did not serve c"
+
+  Scenario Outline: A long wait counts unless the connection of the client was disrupted
+    # A client used a connection again that had been stalled for good before, and the
+    # check took it for undisturbed. Seed 704.
+    Given connections that were <fault> from 1 s to 2 s
+    When a client on a connection of <opened> s sends a request at <sent> s and waits 10 s
+    Then the check reports <found> long wait
+
+    Examples:
+      | fault            | opened | sent | found |
+      | stalled for good | 0      | 3    | no    |
+      | stalled for good | 1.5    | 3    | no    |
+      | stalled for good | 2.5    | 3    | a     |
+      | delayed          | 0      | 3    | a     |
+      | delayed          | 0      | 1.5  | no    |
--- a/features/steps/soak_check_steps.py
+++ b/features/steps/soak_check_steps.py
@@ -1,5 +1,7 @@
 """Steps of the soak's checks on made-up observations."""
 
+import dataclasses
+
 import behave
 
 from support import platform_fleet, soak_checks
@@ -24,6 +26,7 @@
             incarnation=1,
             sent_s=sent_s,
             ended_s=sent_s + RESPONSE_S,
+            opened_s=sent_s,
         ),
     ]
 
@@ -43,9 +46,50 @@
     )
 
 
+@behave.given('connections that were {fault} from 1 s to 2 s')
+def given_connections(context, fault):
+    disruption = soak_checks.Disruption(
+        kind='connection',
+        subject='i0',
+        begun_s=1,
+        ended_s=2,
+        is_lasting=fault == 'stalled for good',
+    )
+    context.disruptions = [disruption]
+
+
+@behave.when(
+    'a client on a connection of {opened_s:g} s sends a request at {sent_s:g} s and waits {waited_s:g} s'
+)
+def when_waited(context, opened_s, sent_s, waited_s):
+    observe(context, status=504, body=b'{}', sent_s=sent_s)
+    context.answers[-1] = dataclasses.replace(
+        context.answers[-1], opened_s=opened_s, ended_s=sent_s + waited_s
+    )
+
+
+@behave.then('the check reports {found} long wait')
+def then_waits(context, found):
+    reported = [
+        violation
+        for violation in soak_checks.violations(observations(context))
+        if ' waited ' in violation
+    ]
+    assert len(reported) == (found == 'a'), reported
+
+
 def found_by_version_check(context):
     """Return the violations of the check, called as for a real run."""
-    observed = soak_checks.Observations(
+    return [
+        found
+        for found in soak_checks.violations(observations(context))
+        if QUEUE in found.split()
+    ]
+
+
+def observations(context):
+    """Return the observations of a run without starts."""
+    return soak_checks.Observations(
         answers=context.answers,
         state={
             'starts': [],
@@ -54,15 +98,10 @@
             'broken': [],
             'late_starts': [],
         },
-        disruptions=[],
+        disruptions=getattr(context, 'disruptions', []),
         stops=[],
         versions={QUEUE: 0},
     )
-    return [
-        found
-        for found in soak_checks.violations(observed)
-        if QUEUE in found.split()
-    ]
 
 
 @behave.then('the check reports no violation')
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -105,6 +105,7 @@
         incarnation: Incarnation of that process.
         sent_s: When the request was sent.
         ended_s: When the response or the error arrived.
+        opened_s: When its connection was opened.
     """
 
     job_id: str
@@ -117,6 +118,19 @@
     incarnation: int
     sent_s: float
     ended_s: float
+    opened_s: float
+
+
+class Connection(client.HTTPConnection):
+    """A connection of a client to a process.
+
+    Attributes:
+        opened_s: When it was opened.
+    """
+
+    def __init__(self, address):
+        super().__init__(*address, timeout=REQUEST_TIMEOUT_S)
+        self.opened_s = time.monotonic()
 
 
 class Process:
@@ -228,7 +242,7 @@
         if not ready.poll(0):
             return connection
         connection.close()
-    return client.HTTPConnection(*process.front, timeout=REQUEST_TIMEOUT_S)
+    return Connection(process.front)
 
 
 class PlatformFleet:
@@ -396,6 +410,7 @@
                 incarnation=incarnation,
                 sent_s=sent_s,
                 ended_s=ended_s,
+                opened_s=connection.opened_s,
             )
         )
         return status
--- a/features/support/soak_checks.py
+++ b/features/support/soak_checks.py
@@ -39,12 +39,15 @@
         subject: Name of the affected process; empty for all of them.
         begun_s: When it began.
         ended_s: When it ended.
+        is_lasting: Whether connections that were open when it began stay
+            disrupted after its end.
     """
 
     kind: str
     subject: str
     begun_s: float
     ended_s: float = float('inf')
+    is_lasting: bool = False
 
     def affects(self, process, begun_s, ended_s):
         """Return whether it affects a process within a period."""
@@ -157,11 +160,18 @@
     """Return whether no fault affected the client's connection."""
     return not any(
         disruption.kind == 'connection'
-        and disruption.affects(answer.process, answer.sent_s, answer.ended_s)
+        and disruption.affects(
+            answer.process, used_since_s(answer, disruption), answer.ended_s
+        )
         for disruption in observed.disruptions
     )
 
 
+def used_since_s(answer, disruption):
+    """Return since when a disruption of its connection affects a request."""
+    return answer.opened_s if disruption.is_lasting else answer.sent_s
+
+
 def state_violations(observed, answer, label):
     """Yield the violations of the job state that a client got."""
     state = json.loads(answer.body).get('State')
--- a/features/support/soak_faults.py
+++ b/features/support/soak_faults.py
@@ -129,6 +129,7 @@
         )
     )
     disruption = soak.begin_disruption('connection', subject)
+    disruption.is_lasting = fault == 'stall open connections'
     match fault:
         case 'delay':
             route.set_faults(delay_s=soak.random.uniform(0.02, 0.4))
