Draw cuts behind waiting messages in the random faults

A fault of its own, drawn in runs that ask for it: messages to an allocator wait, its zone is cut off meanwhile, the other side sees resets, and orders there are carried out late.

--- a/features/pool/random_faults.feature
+++ b/features/pool/random_faults.feature
@@ -23,6 +23,15 @@
     # that had restarted, but not by its present clock.
     Then 1 runs of 5 s with many restarts of workers and pauses of instances from seed 930065 start no refused job
 
+  Scenario: No task runs twice while zones are cut off behind waiting messages
+    # Messages of an owner that arrived late extended the lease of its runs beyond the
+    # time after which the other side started them again.
+    Then 1 runs of 5 s with zones cut off behind waiting messages from seed 23 start no refused job
+
+  Scenario: No worker is started over its capacity in a cut while the worker list cannot be read
+    # A worker had shrunk 3 s before, as with seed 880189.
+    Then 1 runs of 5 s with zones cut off behind waiting messages from seed 28 start no refused job
+
   Scenario: A job that is sent again before its withdrawal is answered is not refused and started
     # The answer to the withdrawal of the earlier attempt was taken as that to the
     # present one, which the allocator started.
--- a/features/steps/random_faults_steps.py
+++ b/features/steps/random_faults_steps.py
@@ -49,6 +49,16 @@
         check_run(number, run, seconds)
 
 
+@behave.then(
+    '{count:d} runs of {seconds:g} s with zones cut off behind waiting messages from seed {seed:d} start no refused job'
+)
+def then_random_cuts(context, count, seconds, seed):
+    for number in range(seed, seed + count):
+        run = pool_faults.FaultRun(seed=number)
+        run.faults.add_cuts_behind_messages()
+        check_run(number, run, seconds)
+
+
 def check_run(number, run, seconds):
     run.run(seconds)
     found = {
--- a/features/support/pool_faults.py
+++ b/features/support/pool_faults.py
@@ -24,6 +24,10 @@
 MORE_CRASHES = 6
 MORE_FREEZES = 4
 MORE_HOLDS = 2
+# Additional shares of faults in runs with cuts behind messages that wait.
+MORE_CUTS = 20
+MAX_CUT_DELAY_S = 0.1
+WAIT_S = (0.2, 0.5)
 
 
 def reset_link(world, link):
@@ -90,6 +94,10 @@
         self.kinds += (self.freeze_any,) * MORE_FREEZES
         self.kinds += (self.hold,) * MORE_HOLDS
 
+    def add_cuts_behind_messages(self):
+        """Choose cuts of the allocator's zone while messages to it wait."""
+        self.kinds += (self.cut_behind_messages,) * MORE_CUTS
+
     def later(self, delay_s, action, *args):
         """Do something after a delay."""
         self.world.clock.callLater(delay_s, action, *args)
@@ -272,6 +280,40 @@
         self.world.cut_zone = None
         self.update_store()
 
+    def cut_behind_messages(self):
+        """Cut an allocator's zone off while messages to it wait.
+
+        The other side is told by resets, and orders are carried out late.
+        """
+        name = self.allocator()
+        if self.world.cut_zone is not None or name in self.held:
+            return None
+        self.held.add(name)
+        self.world.network.hold(name)
+        delay_s = self.duration(*WAIT_S)
+        self.later(delay_s, self.release, name)
+        cut_s = self.duration(0, MAX_CUT_DELAY_S)
+        self.later(cut_s, self.cut_and_reset, name)
+        return name, cut_s, delay_s
+
+    def cut_and_reset(self, name):
+        """Cut the zone of an instance off; the other side sees resets."""
+        world = self.world
+        if world.cut_zone is not None:
+            return
+        world.cut_zone = world.zone_of(name)
+        self.update_store()
+        for worker in world.workers.values():
+            if worker.worker_info.zone == world.cut_zone:
+                delay_s = self.duration(1, 3)
+                worker.faults.delay_orders_s = delay_s
+                self.later(delay_s, setattr, worker.faults, 'delay_orders_s', 0)
+        for link in self.links_of(name):
+            if world.zone_of(link.other.owner) != world.cut_zone:
+                instance = world.instances[link.other.owner]
+                self.later(0, instance.process.execute, link.other.lost)
+        self.later(self.duration(2, 4), self.heal_zone)
+
     def cut_instance(self):
         """Cut an instance off from the others."""
         name = self.random.choice([*self.running(), self.allocator()])
