--- a/features/pool/lost_owners.feature
+++ b/features/pool/lost_owners.feature
@@ -126,3 +126,14 @@
       | not linked                            | given up |
       | linked and reset again and again      | given up |
       | linked and answers                    | open     |
+
+  Scenario Outline: An owner whose link is open again just before its deadline has <answer_s> s to answer
+    # Its jobs were given up while its answer was on the way.
+    Given an allocator with runs of two owners on one worker
+    When the link of one owner is reset, linked again 0.3 s later, and it answers after <answer_s> s
+    Then its job is <state>
+
+    Examples:
+      | answer_s | state    |
+      | 0.14     | open     |
+      | 0.26     | given up |
--- a/features/steps/lost_owner_steps.py
+++ b/features/steps/lost_owner_steps.py
@@ -194,6 +194,19 @@
             orphans.on_owner_heard(LOST)
 
 
+@behave.when(
+    'the link of one owner is reset, linked again {linked_s:g} s later, and it answers after {answer_s:g} s'
+)
+def when_answers_after(context, linked_s, answer_s):
+    scene = context.scene
+    orphans = scene.machine.orphans
+    orphans.on_owner_lost(LOST, scene.now_s, timed_out=False)
+    run_heard(context, linked_s, (KEPT,))
+    orphans.on_owner_linked(LOST, scene.now_s)
+    run_heard(context, answer_s, (KEPT,))
+    orphans.on_owner_heard(LOST)
+
+
 @behave.then('its job is {state}')
 def then_state(context, state):
     is_open = values.JobId(f'of-{LOST}') in context.scene.machine.state.jobs
