--- a/features/platform/client_decisions.feature
+++ b/features/platform/client_decisions.feature
@@ -57,3 +57,40 @@
     When the process pauses for 10 s
     Then the client is still connected
     And it is disconnected when it sends nothing for 4 s more
+
+  Scenario: A body of a slow client that makes progress does not end
+    # The slowest body was 16 KiB a second, which real clients fall below.
+    Given a listener whose handler answers at once
+    When bodies arrive at 100 and at 2000 bytes a second for 60 s
+    Then only the first client is disconnected
+
+  Scenario: Refusing clients that read no answers refuses each of them once
+    # The refusal was an answer more to hold, which refused the next one, and so on:
+    # the process ran into the limit of recursion.
+    Given 2000 holders of 1000 bytes each whose refusals are held as well
+    When one of them holds more than the limit
+    Then no holder is refused twice
+
+  Scenario: A client that reads no answers is disconnected instead of refused
+    Given a listener whose handler answers at once
+    When a client whose answers are unread is refused for its memory
+    Then it is disconnected without an answer
+    And it holds nothing any more
+
+  Scenario: A request gets one refusal
+    # Memory ran out while the answer before it was written, and again right after.
+    Given a listener whose handler answers later
+    When a client sends a request, and is refused for its memory while that is answered
+    Then its answers have the statuses 200, 503
+
+  Scenario: The headers of a request are not kept beyond it
+    Given a listener whose handler answers later
+    When a client sends a request with a header of 8000 bytes
+    Then its connection keeps no header
+
+  Scenario: A request behind a handled one may take as long as any other
+    # Its time-out counted from before the answer to the request before it.
+    Given a listener whose handler answers later
+    When a client sends a request and half of another one, and the first is answered 10 s later
+    Then the client is still connected
+    And the connection is closed when it sends nothing for 4 s more
--- a/features/steps/client_decision_steps.py
+++ b/features/steps/client_decision_steps.py
@@ -1,14 +1,17 @@
 """Steps for decisions about clients outside the limits."""
 
+import functools
 import types
 
 import behave
 from twisted.internet import task, testing
 
 from guavaroad.adapters import (
+    client_guard,
     http_listener,
     listening_ports,
     reactor_timers,
+    server_connection,
 )
 from guavaroad.domain import client_limits
 from support import crowds
@@ -17,7 +20,23 @@
 
 
 class Transport(testing.StringTransport):
-    """Transport of a TCP connection that records what is written."""
+    """Transport of a TCP connection that records what is written.
+
+    Attributes:
+        on_write: Called after the next write.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.on_write = None
+
+    def write(self, data):
+        """Record what is written."""
+        super().write(data)
+        action = self.on_write
+        self.on_write = None
+        if action is not None:
+            action()
 
     def setTcpNoDelay(self, _):  # noqa: N802
         """Do nothing."""
@@ -259,3 +278,122 @@
     for _ in range(seconds):
         context.clock.advance(1)
     assert is_disconnected(context.clients[0])
+
+
+class Holder:
+    """A client whose refusal is one more answer that it does not read.
+
+    Attributes:
+        refused: How often it was refused.
+    """
+
+    def __init__(self, guard, size):
+        self.guard = guard
+        self.size = size
+        self.refused = 0
+
+    def refuse(self, _):
+        """Hold the refusal as well."""
+        self.refused += 1
+        self.guard.set_held(self, self.size)
+
+
+@behave.given(
+    '{count:d} holders of {size:d} bytes each whose refusals are held as well'
+)
+def given_many_holders(context, count, size):
+    context.clock = task.Clock()
+    context.guard = client_guard.ClientGuard(
+        bounds=http_listener.Bounds(),
+        timer_service=reactor_timers.ReactorTimers(clock=context.clock),
+        limits=client_limits.ProcessLimits(held_bytes=1),
+    )
+    context.holders = [Holder(context.guard, size) for _ in range(count)]
+    for holder in context.holders:
+        context.guard.held.set_held(holder, size)
+
+
+@behave.when('one of them holds more than the limit')
+def when_over_limit(context):
+    bounds = context.guard.bounds
+    limit = context.guard.limits.held_limit(
+        bounds.head_bytes, bounds.body_bytes
+    )
+    context.guard.set_held(context.holders[0], limit)
+
+
+@behave.then('no holder is refused twice')
+def then_once(context):
+    refused = [holder.refused for holder in context.holders]
+    assert max(refused) == 1, max(refused)
+
+
+@behave.when('a client whose answers are unread is refused for its memory')
+def when_unread_refused(context):
+    client = connect(context)
+    client.dataReceived(crowds.GET)
+    client.transport.producer.pauseProducing()
+    client.refuse(client_limits.Reason.HELD_BYTES)
+
+
+@behave.then('it is disconnected without an answer')
+def then_no_answer(context):
+    client = context.clients[0]
+    assert client.transport.statuses() == [200], client.transport.statuses()
+    assert client.state is server_connection.State.CLOSED
+
+
+@behave.then('it holds nothing any more')
+def then_holds_nothing(context):
+    assert not context.listener.guard.held.largest(-1)
+
+
+@behave.when(
+    'a client sends a request, and is refused for its memory while that is answered'
+)
+def when_refused_meanwhile(context):
+    client = connect(context)
+    client.dataReceived(crowds.GET)
+    client.transport.on_write = functools.partial(
+        client.refuse, client_limits.Reason.HELD_BYTES
+    )
+    answer(context.requests[0])
+
+
+@behave.then('its answers have the statuses {expected}')
+def then_statuses(context, expected):
+    statuses = context.clients[0].transport.statuses()
+    assert statuses == list(map(int, expected.split(', '))), statuses
+
+
+@behave.when('a client sends a request with a header of {size:d} bytes')
+def when_large_header(context, size):
+    client = connect(context)
+    head = crowds.GET.removesuffix(b'\r\n')
+    client.dataReceived(head + b'X: %s\r\n\r\n' % (b'x' * size))
+    assert context.requests
+
+
+@behave.then('its connection keeps no header')
+def then_no_header(context):
+    assert not context.clients[0].receiver.headers
+
+
+@behave.when(
+    'a client sends a request and half of another one, and the first is answered {seconds:d} s later'
+)
+def when_answered_later(context, seconds):
+    client = connect(context)
+    client.dataReceived(crowds.GET + crowds.HEAD)
+    context.clock.advance(seconds)
+    answer(context.requests[0])
+    context.listener.close_idle(context.clock.seconds())
+
+
+@behave.then(
+    'the connection is closed when it sends nothing for {seconds:d} s more'
+)
+def then_other_closed(context, seconds):
+    context.clock.advance(seconds)
+    context.listener.close_idle(context.clock.seconds())
+    assert is_disconnected(context.clients[0])
--- a/features/steps/known_start_steps.py
+++ b/features/steps/known_start_steps.py
@@ -110,9 +110,7 @@
         on_outcome=lambda _: None,
     )
     context.open_job.record_end(
-        messages.Ended(
-            job=request.job_id, index=0, kind=values.EndKind.FAILED
-        )
+        messages.Ended(job=request.job_id, index=0, kind=values.EndKind.FAILED)
     )
 
 
